--- /dev/null
+++ b/src/core-private.h
@@ -0,0 +1,364 @@
+/* What the parts of the core share. */
+#pragma once
+
+#include "core.h"
+
+typedef struct MhJob MhJob;
+typedef struct MhMachine MhMachine;
+typedef struct MhAttempt MhAttempt;
+typedef struct MhRecord MhRecord;
+
+/* ---- budget: token buckets, and calls that wait for one in order of rank ---- */
+
+typedef struct
+{
+  double rate, burst, tokens;
+  gint64 at_us;
+} MhBucket;
+
+void mh_bucket_init (MhBucket *bucket, double rate, double burst, gint64 now_us);
+bool mh_bucket_has (MhBucket *bucket, double tokens, gint64 now_us);
+void mh_bucket_take (MhBucket *bucket, double tokens);
+
+typedef enum
+{
+  MH_RANK_LEASE,   /* keeping leadership */
+  MH_RANK_RULES,   /* what keeps the rules: reloads, cancellations, releases */
+  MH_RANK_WORK,    /* starts, finishes, rentals */
+  MH_RANK_STRANGER /* reads for users about jobs that are not in memory */
+} MhRank;
+#define MH_RANKS 4
+
+/* A reply; `status` 0 means that none came. */
+typedef void (*MhReplyFunc) (MhCore *core, gpointer data, guint status, const MhValue *body);
+
+/* ---- job ---- */
+
+typedef enum
+{
+  MH_TASK_PENDING,
+  MH_TASK_LIVE, /* an attempt may be on a machine */
+  MH_TASK_DONE
+} MhTaskState;
+
+typedef struct
+{
+  MhAttempt *live;
+  guint32 attempt; /* the last one given out */
+  guint8 state;
+} MhTask;
+
+/* A record in the state service: chunk 0 carries the job itself. */
+struct MhRecord
+{
+  MhJob *job;
+  guint chunk;
+  guint64 stamp;   /* 0: does not exist yet */
+  guint64 rev;     /* of memory */
+  guint64 durable; /* of the state service */
+  bool queued, writing;
+};
+
+typedef struct
+{
+  guint64 id;
+  MhUserVerb verb;
+} MhWaiter;
+
+struct MhJob
+{
+  MhJobSpec *spec;
+  gint64 submitted_wall_us, submitted_us;
+  MhTask *tasks;
+  MhRecord *records;
+  guint n_records;
+  guint n_done, n_live, n_running;
+  guint cursor; /* no pending task below it */
+  bool accepted;       /* its first record is durable */
+  bool cancelled;      /* the user asked */
+  bool cancel_durable; /* and may be told so */
+  bool finished;       /* nothing left to do: the final record is wanted */
+  bool final;          /* ... and durable */
+  MhJobState final_state;
+  GArray *waiters; /* MhWaiter */
+  /* placement */
+  bool guaranteed;
+  guint errors;             /* failures in a row, on different machines */
+  gint64 retry_us;          /* no start before */
+  gint64 wanted_us;         /* pending and unplaced since; 0: not */
+  double sort_key;
+  gint64 final_us;
+};
+
+MhJob *mh_job_new (MhJobSpec *spec, const MhSettings *settings, gint64 submitted_wall_us,
+                   const MhNow *now);
+void mh_job_free (MhJob *job);
+MhRecord *mh_job_record (MhJob *job, guint index); /* that holds task `index` */
+guint mh_job_pending (const MhJob *job);
+bool mh_job_over (const MhJob *job); /* takes no more starts */
+void mh_job_answer (const MhJob *job, MhUserAnswer *answer);
+guint mh_job_chunk (void); /* tasks in one record */
+
+/* ---- record: the stored form ---- */
+
+char *mh_record_key (const char *job, guint chunk);
+MhValue *mh_record_write (const MhRecord *record, const char *tag);
+MhValue *mh_record_write_final (const MhJob *job, const char *tag);
+MhValue *mh_record_write_leader (const char *node, guint64 epoch);
+MhValue *mh_record_write_epoch (guint64 epoch);
+bool mh_record_read_leader (const MhValue *value, char **node, guint64 *epoch);
+bool mh_record_read_epoch (const MhValue *value, guint64 *epoch);
+bool mh_record_read_final (const MhValue *value, MhUserAnswer *answer);
+char *mh_record_read_tag (const MhValue *value);
+/* Reads the job's own part of chunk 0. */
+MhJobSpec *mh_record_read_job (const MhValue *value, const char *id, gint64 *submitted_wall_us,
+                               bool *cancelled);
+typedef void (*MhRecordTaskFunc) (gpointer data, guint index, guint32 attempt,
+                                  const char *machine /* NULL: done */);
+bool mh_record_read_tasks (const MhValue *value, MhRecordTaskFunc each, gpointer data);
+
+/* ---- fleet ---- */
+
+struct MhAttempt
+{
+  MhJob *job;
+  guint index;
+  guint32 attempt;
+  MhMachine *machine;
+  guint64 need_rev;    /* the record's rev that must be durable before it is ordered */
+  bool loaded;         /* known from a record: what was ordered, nobody here knows */
+  bool ordered;        /* a start may have left this process */
+  guint64 order_epoch; /* highest epoch under which it was ordered */
+  guint64 order_tenure;
+  guint64 hello_tick;  /* report whose response last carried the start; 0: none */
+  bool seen;           /* reported on the machine */
+  bool present;        /* in the report at hand */
+  bool kill;           /* is to be stopped */
+  gint64 grace_us;
+  gint64 killed_us;    /* when last told directly */
+  MhTaskPhase phase;
+  gint64 placed_us, running_us;
+};
+
+/* A direct command that got no answer: it may be carried out at any later time, as long as epoch
+   and tenure still match. */
+typedef struct
+{
+  char *job;
+  guint index;
+  guint64 attempt, epoch, tenure;
+  gint64 since_us;
+} MhLoose;
+
+/* A task on a machine that is no live attempt of ours. */
+typedef struct
+{
+  char *job;
+  guint index;
+  guint64 attempt;
+  bool ended, done;
+} MhStray;
+
+typedef struct
+{
+  char *name;
+  double gb;
+  guint64 used; /* order of last use */
+} MhCached;
+
+struct MhMachine
+{
+  char *name, *endpoint, *zone, *type_name;
+  const MhMachineType *type;
+  bool spot;
+  bool reported;   /* to this leader */
+  bool releasing;  /* decided; holds until it is confirmed */
+  bool release_sent;
+  bool gone;       /* confirmed released */
+  bool running; /* listed as such */
+  const char *why; /* of the release */
+  gint64 known_us, rented_us, heard_us, idle_us;
+  gint64 notice_until_us; /* -1: no notice */
+  guint64 tenure, tick, epoch;
+  GPtrArray *attempts; /* MhAttempt */
+  GArray *loose;       /* MhLoose */
+  GArray *strays;      /* MhStray */
+  GPtrArray *cache;    /* MhCached */
+  guint direct;        /* direct commands without an answer yet */
+  guint errors;        /* failed tasks in a row */
+  char *error_job;
+  gint64 quarantine_us;
+  double used_cpus, used_gpus, used_mem;
+  double promised_cpus, promised_mem; /* to tasks that wait for preempted ones, in this pass */
+  gint64 hold_us; /* no start before: it refused one */
+  guint64 cache_clock;
+  gint64 gone_us;
+};
+
+MhMachine *mh_fleet_machine (MhCore *core, const char *name);
+MhMachine *mh_fleet_add (MhCore *core, const char *name, const char *type, const char *zone,
+                         bool spot);
+void mh_fleet_types_changed (MhCore *core);
+bool mh_fleet_silent (const MhCore *core, const MhMachine *machine, gint64 for_us);
+bool mh_fleet_cached (const MhMachine *machine, const char *image);
+void mh_fleet_clear (MhCore *core);
+void mh_fleet_loaded (MhCore *core);
+void mh_fleet_kill_job (MhCore *core, MhJob *job);
+void mh_fleet_hello (MhCore *core, guint64 id, const MhReport *report);
+void mh_fleet_step (MhCore *core);
+void mh_fleet_gone (MhCore *core, MhMachine *machine); /* confirmed released */
+MhAttempt *mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, MhMachine *machine);
+void mh_fleet_kill (MhCore *core, MhAttempt *attempt, gint64 grace_us);
+/* The attempt can no longer run: room, quota and task are free again. */
+void mh_fleet_attempt_over (MhCore *core, MhAttempt *attempt, bool done);
+void mh_fleet_cache (MhMachine *machine, const char *image, double gb);
+void mh_fleet_free_machine (gpointer machine);
+
+/* ---- spread: the arithmetic of KEP-895 and nothing else ---- */
+
+typedef struct
+{
+  const char *name;
+  guint count;   /* matching tasks */
+  bool feasible; /* some machine there could take the task */
+} MhZoneCount;
+
+bool mh_spread_hard_fits (const MhZoneCount *zones, guint n_zones, guint zone, guint max_skew);
+/* Lowest ranks first. */
+gint mh_spread_soft_score (const MhZoneCount *zones, guint n_zones, guint zone, guint max_skew);
+
+/* ---- place, scale, store, leader ---- */
+
+void mh_place_step (MhCore *core);
+bool mh_place_type_fits (const MhJobSpec *spec, const MhMachineType *type);
+bool mh_place_kind_fits (const MhJob *job, const MhMachineType *type, const char *zone, bool spot);
+/* Could the team run `more` of the job's tasks besides what may be running now? */
+bool mh_place_quota_fits (MhCore *core, const MhJob *job, double more_cpus, double more_gpus);
+GPtrArray *mh_place_queue (MhCore *core); /* jobs with pending tasks, in order; container owned */
+void mh_place_spread_rule (const MhCore *core, const MhJobSpec *spec, guint *max_skew, bool *soft);
+
+void mh_scale_start (MhCore *core);
+void mh_scale_step (MhCore *core);
+void mh_scale_clear (MhCore *core);
+void mh_scale_release (MhCore *core, MhMachine *machine, const char *why);
+
+void mh_store_touch (MhCore *core, MhRecord *record);
+void mh_store_step (MhCore *core);
+void mh_store_load (MhCore *core); /* ends in mh_leader_loaded */
+void mh_store_clear (MhCore *core);
+bool mh_store_idle (const MhCore *core);
+void mh_store_lookup (MhCore *core, guint64 request_id, const char *job, MhUserVerb verb);
+
+typedef enum
+{
+  MH_PHASE_FOLLOW,
+  MH_PHASE_CAMPAIGN,
+  MH_PHASE_LOAD,
+  MH_PHASE_REBUILD, /* answers users and workers, places nothing yet */
+  MH_PHASE_LEAD
+} MhPhase;
+
+void mh_leader_start (MhCore *core);
+void mh_leader_step (MhCore *core);
+void mh_leader_loaded (MhCore *core, bool ok);
+void mh_leader_lost (MhCore *core, const char *why);
+bool mh_leader_valid (const MhCore *core); /* may order and answer from memory */
+bool mh_leader_bump (MhCore *core);        /* raises the epoch to fence what is in flight */
+
+/* ---- core ---- */
+
+typedef struct
+{
+  guint64 id;
+  MhRank rank;
+  MhRequest *request;
+  gint64 timeout_us;
+  double writes;
+} MhQueued;
+
+typedef struct
+{
+  MhReplyFunc func;
+  gpointer data;
+  GDestroyNotify free;
+} MhCall;
+
+typedef struct
+{
+  double cpus, gpus; /* what may be in use */
+} MhUse;
+
+struct MhCore
+{
+  const MhSettings *settings;
+  MhNow now;
+  guint64 next_id;
+  GQueue actions;
+  gint64 wake_us;
+
+  GHashTable *calls; /* id -> MhCall */
+  GQueue state_queue[MH_RANKS], cloud_queue[MH_RANKS];
+  MhBucket state_bucket, write_bucket, cloud_bucket;
+  gint64 state_pause_us, cloud_pause_us;
+
+  struct
+  {
+    MhPhase phase;
+    char *node; /* who leads, as far as known */
+    guint64 epoch; /* that node's */
+    guint64 key_stamp;
+    guint64 own_epoch; /* while leading */
+    guint64 own_stamp;
+    guint64 load_epoch; /* all orders of earlier leaders have lower ones */
+    guint64 claim;
+    gint64 valid_until_us; /* of the lease, by the steady clock */
+    gint64 confirmed_us;   /* a renewal that was answered was sent then */
+    gint64 renew_us;
+    bool renewing, busy;
+    gint64 retry_us;
+    gint64 since_us;   /* leading since */
+    gint64 usable_us;  /* when a usable leader was last known */
+    bool bumping, bump_sent;
+    const char *lost; /* why, until the next step */
+    gint64 bumped_us;
+    gint64 rebuild_until_us;
+  } leader;
+
+  /* leader's memory */
+  GHashTable *jobs;   /* id -> MhJob */
+  GHashTable *finals; /* id -> MhUserAnswer, a bounded cache */
+  GQueue finals_order;
+  GQueue dirty;       /* MhRecord */
+  GQueue garbage;     /* keys to drop */
+  guint txns;         /* in flight */
+  guint64 rev;
+  GHashTable *machines; /* name -> MhMachine */
+  GPtrArray *types;     /* MhMachineType; NULL until known */
+  GHashTable *team_use; /* team -> MhUse */
+  bool place_wanted;
+  gint64 placed_us;
+  GHashTable *forwards; /* id -> MhUserVerb as pointer */
+
+  struct
+  {
+    gint64 types_us, list_us, step_us, release_us;
+    bool types_busy, list_busy, renting, listed;
+    guint64 rentals;
+    GHashTable *refused; /* type/zone/kind -> gint64 until */
+  } scale;
+};
+
+void mh_core_step (MhCore *core);
+MhAction *mh_core_act (MhCore *core, MhActionKind kind, guint64 id);
+/* Queues a call on its bucket; the request is taken over. */
+void mh_core_call (MhCore *core, MhRank rank, MhRequest *request, double writes, gint64 timeout_us,
+                   MhReplyFunc func, gpointer data, GDestroyNotify free);
+/* Forgets all calls; replies that still come are ignored. */
+void mh_core_drop_calls (MhCore *core);
+void mh_core_answer (MhCore *core, guint64 id, guint status, guint retry_after_s);
+void mh_core_answer_job (MhCore *core, guint64 id, const MhJob *job, guint status);
+void mh_core_wake_at (MhCore *core, gint64 at_us);
+void mh_core_log (MhCore *core, GLogLevelFlags level, const char *format, ...) G_GNUC_PRINTF (3, 4);
+void mh_core_final (MhCore *core, const char *id, const MhUserAnswer *answer);
+#define mh_info(core, ...) mh_core_log (core, G_LOG_LEVEL_INFO, __VA_ARGS__)
+#define mh_debug(core, ...) mh_core_log (core, G_LOG_LEVEL_DEBUG, __VA_ARGS__)
--- /dev/null
+++ b/src/core.c
@@ -0,0 +1,439 @@
+#include "core-private.h"
+
+#include <string.h>
+
+/* Finished jobs whose answer is kept in memory; others are read when they are asked for. */
+#define FINALS_KEPT 2000u
+
+void
+mh_action_free (MhAction *a)
+{
+  if (a == NULL)
+    return;
+  mh_request_free (a->request);
+  mh_value_unref (a->body);
+  g_free (a->text);
+  g_free (a);
+}
+
+MhAction *
+mh_core_act (MhCore *core, MhActionKind kind, guint64 id)
+{
+  MhAction *a = g_new0 (MhAction, 1);
+  a->kind = kind;
+  a->id = id;
+  g_queue_push_tail (&core->actions, a);
+  return a;
+}
+
+MhAction *
+mh_core_pop (MhCore *core)
+{
+  return g_queue_pop_head (&core->actions);
+}
+
+void
+mh_core_log (MhCore *core, GLogLevelFlags level, const char *format, ...)
+{
+  va_list args;
+  MhAction *a = mh_core_act (core, MH_ACTION_LOG, 0);
+  a->level = level;
+  va_start (args, format);
+  a->text = g_strdup_vprintf (format, args);
+  va_end (args);
+}
+
+void
+mh_core_wake_at (MhCore *core, gint64 at_us)
+{
+  core->wake_us = MIN (core->wake_us, at_us);
+}
+
+gint64
+mh_core_next_wake (const MhCore *core)
+{
+  return core->wake_us;
+}
+
+/* ---- calls ---- */
+
+static void
+call_free (gpointer data)
+{
+  MhCall *call = data;
+  if (call->free)
+    call->free (call->data);
+  g_free (call);
+}
+
+static void
+queued_free (gpointer data)
+{
+  MhQueued *q = data;
+  mh_request_free (q->request);
+  g_free (q);
+}
+
+static void
+emit (MhCore *core, MhQueued *q)
+{
+  MhAction *a = mh_core_act (core, MH_ACTION_CALL, q->id);
+  a->request = g_steal_pointer (&q->request);
+  a->timeout_us = q->timeout_us;
+  queued_free (q);
+}
+
+void
+mh_core_call (MhCore *core, MhRank rank, MhRequest *request, double writes, gint64 timeout_us,
+              MhReplyFunc func, gpointer data, GDestroyNotify free)
+{
+  MhCall *call = g_new0 (MhCall, 1);
+  call->func = func;
+  call->data = data;
+  call->free = free;
+  MhQueued *q = g_new0 (MhQueued, 1);
+  q->id = ++core->next_id;
+  q->rank = rank;
+  q->request = request;
+  q->timeout_us = timeout_us;
+  q->writes = writes;
+  g_hash_table_insert (core->calls, g_memdup2 (&q->id, sizeof q->id), call);
+  if (request->target == MH_TARGET_WORKER)
+    emit (core, q);
+  else
+    g_queue_push_tail (request->target == MH_TARGET_STATE ? &core->state_queue[rank]
+                                                          : &core->cloud_queue[rank],
+                       q);
+}
+
+/* Sends what the buckets allow, the highest rank first. The lease is renewed whatever they say: its
+   calls are few, and without it nothing else counts. */
+static void
+flush_calls (MhCore *core)
+{
+  gint64 now = core->now.mono_us;
+  for (guint rank = 0; rank < MH_RANKS; rank++)
+    for (MhQueued *q; (q = g_queue_peek_head (&core->state_queue[rank]));)
+      {
+        if (rank != MH_RANK_LEASE
+            && (now < core->state_pause_us || !mh_bucket_has (&core->state_bucket, 1, now)
+                || (q->writes > 0 && !mh_bucket_has (&core->write_bucket, q->writes, now))))
+          {
+            mh_core_wake_at (core, MAX (now + 20000, core->state_pause_us));
+            rank = MH_RANKS;
+            break;
+          }
+        mh_bucket_take (&core->state_bucket, 1);
+        mh_bucket_take (&core->write_bucket, q->writes);
+        emit (core, g_queue_pop_head (&core->state_queue[rank]));
+      }
+  for (guint rank = 0; rank < MH_RANKS; rank++)
+    for (MhQueued *q; (q = g_queue_peek_head (&core->cloud_queue[rank]));)
+      {
+        if (now < core->cloud_pause_us || !mh_bucket_has (&core->cloud_bucket, 1, now))
+          {
+            mh_core_wake_at (core, MAX (now + 100000, core->cloud_pause_us));
+            return;
+          }
+        mh_bucket_take (&core->cloud_bucket, 1);
+        emit (core, g_queue_pop_head (&core->cloud_queue[rank]));
+      }
+}
+
+void
+mh_core_drop_calls (MhCore *core)
+{
+  for (guint i = 0; i < MH_RANKS; i++)
+    {
+      g_queue_clear_full (&core->state_queue[i], queued_free);
+      g_queue_clear_full (&core->cloud_queue[i], queued_free);
+    }
+  g_hash_table_remove_all (core->calls);
+}
+
+void
+mh_core_reply (MhCore *core, const MhNow *now, guint64 id, guint status, const MhValue *body)
+{
+  gpointer key, value;
+  core->now = *now;
+  if (g_hash_table_steal_extended (core->calls, &id, &key, &value))
+    {
+      MhCall *call = value;
+      call->func (core, call->data, status, body);
+      g_free (key);
+      call_free (call);
+    }
+  mh_core_step (core);
+}
+
+/* ---- users ---- */
+
+void
+mh_core_answer (MhCore *core, guint64 id, guint status, guint retry_after_s)
+{
+  MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_USER, id);
+  a->answer.status = status;
+  a->answer.retry_after_s = retry_after_s;
+}
+
+void
+mh_core_answer_job (MhCore *core, guint64 id, const MhJob *job, guint status)
+{
+  MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_USER, id);
+  mh_job_answer (job, &a->answer);
+  a->answer.status = status;
+}
+
+void
+mh_core_final (MhCore *core, const char *id, const MhUserAnswer *answer)
+{
+  if (g_hash_table_contains (core->finals, id))
+    return;
+  g_hash_table_insert (core->finals, g_strdup (id), g_memdup2 (answer, sizeof *answer));
+  g_queue_push_tail (&core->finals_order, g_strdup (id));
+  while (core->finals_order.length > FINALS_KEPT)
+    {
+      g_autofree char *old = g_queue_pop_head (&core->finals_order);
+      g_hash_table_remove (core->finals, old);
+    }
+}
+
+/* 422: can never run here. 0: can. 503: not known yet. */
+static guint
+judge (MhCore *core, const MhJobSpec *spec)
+{
+  const MhTeam *team = mh_settings_team (core->settings, spec->team);
+  if (team == NULL)
+    return 422;
+  double n = spec->shape == MH_SHAPE_SERVICE ? spec->tasks : 1;
+  if (spec->cpus * n > team->cpus_max + 1e-9 || spec->gpus * n > team->gpus_max + 1e-9)
+    return 422;
+  if (core->types == NULL)
+    return 503;
+  for (guint i = 0; i < core->types->len; i++)
+    if (mh_place_type_fits (spec, g_ptr_array_index (core->types, i)))
+      return 0;
+  return 422;
+}
+
+static void
+submit (MhCore *core, guint64 id, MhJobSpec *spec)
+{
+  MhJob *job = g_hash_table_lookup (core->jobs, spec->id);
+  const MhUserAnswer *final = g_hash_table_lookup (core->finals, spec->id);
+  if (final || (job && job->accepted))
+    {
+      if (job)
+        mh_core_answer_job (core, id, job, 200);
+      else
+        {
+          MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_USER, id);
+          a->answer = *final;
+        }
+      mh_job_spec_free (spec);
+      return;
+    }
+  if (job == NULL)
+    {
+      guint status = judge (core, spec);
+      if (status == 422)
+        {
+          /* An accepted job is never refused later, whatever the settings have become. */
+          mh_store_lookup (core, id, spec->id, MH_USER_SUBMIT);
+          mh_job_spec_free (spec);
+          return;
+        }
+      if (status)
+        {
+          mh_core_answer (core, id, status, 1);
+          mh_job_spec_free (spec);
+          return;
+        }
+      job = mh_job_new (spec, core->settings, core->now.wall_us, &core->now);
+      g_hash_table_insert (core->jobs, job->spec->id, job);
+      mh_store_touch (core, &job->records[0]);
+    }
+  else
+    mh_job_spec_free (spec);
+  MhWaiter w = { .id = id, .verb = MH_USER_SUBMIT };
+  g_array_append_val (job->waiters, w);
+}
+
+static void
+withdraw (MhCore *core, guint64 id, MhJob *job)
+{
+  if (job->final || job->cancel_durable)
+    {
+      mh_core_answer_job (core, id, job, 200);
+      return;
+    }
+  if (!job->cancelled && !job->finished)
+    {
+      mh_info (core, "job %s: cancelled by its user", job->spec->id);
+      job->cancelled = true;
+      mh_store_touch (core, &job->records[0]);
+      mh_fleet_kill_job (core, job);
+    }
+  MhWaiter w = { .id = id, .verb = MH_USER_WITHDRAW };
+  g_array_append_val (job->waiters, w);
+}
+
+void
+mh_core_user (MhCore *core, const MhNow *now, guint64 id, MhUserVerb verb, const char *job_id,
+              MhJobSpec *spec, bool forwarded)
+{
+  core->now = *now;
+  bool in_charge = core->leader.phase >= MH_PHASE_REBUILD && mh_leader_valid (core);
+  if (!in_charge)
+    {
+      mh_job_spec_free (spec);
+      bool other = core->leader.phase == MH_PHASE_FOLLOW && core->leader.node
+                   && strcmp (core->leader.node, core->settings->node) != 0;
+      if (!forwarded && other)
+        {
+          MhAction *a = mh_core_act (core, MH_ACTION_FORWARD, id);
+          a->text = g_strdup (core->leader.node);
+          a->timeout_us = 1500000;
+          g_hash_table_insert (core->forwards, g_memdup2 (&id, sizeof id), g_strdup (job_id));
+        }
+      else if (!forwarded && verb == MH_USER_STATUS)
+        mh_store_lookup (core, id, job_id, verb);
+      else
+        mh_core_answer (core, id, 503, 1);
+      mh_core_step (core);
+      return;
+    }
+
+  MhJob *job = g_hash_table_lookup (core->jobs, job_id);
+  const MhUserAnswer *final = g_hash_table_lookup (core->finals, job_id);
+  if (verb == MH_USER_SUBMIT)
+    submit (core, id, spec);
+  else if (job && !job->accepted)
+    mh_core_answer (core, id, 503, 1);
+  else if (job && verb == MH_USER_STATUS)
+    mh_core_answer_job (core, id, job, 200);
+  else if (job)
+    withdraw (core, id, job);
+  else if (final)
+    mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
+  else
+    mh_store_lookup (core, id, job_id, verb);
+  mh_core_step (core);
+}
+
+void
+mh_core_forwarded (MhCore *core, const MhNow *now, guint64 id, const MhUserAnswer *answer)
+{
+  core->now = *now;
+  g_autofree char *job = NULL;
+  gpointer key = NULL, value = NULL;
+  if (!g_hash_table_steal_extended (core->forwards, &id, &key, &value))
+    return;
+  g_free (key);
+  job = value;
+  if (answer)
+    {
+      core->leader.usable_us = now->mono_us;
+      mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *answer;
+    }
+  else
+    mh_core_answer (core, id, 503, 1);
+  mh_core_step (core);
+}
+
+/* ---- workers ---- */
+
+void
+mh_core_hello (MhCore *core, const MhNow *now, guint64 id, const MhReport *report)
+{
+  core->now = *now;
+  if (core->leader.phase >= MH_PHASE_LOAD)
+    mh_fleet_hello (core, id, report);
+  else
+    {
+      MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_HELLO, id);
+      a->status = 421;
+      a->body = mh_wire_write_redirect (core->leader.node);
+    }
+  mh_core_step (core);
+}
+
+/* ---- life ---- */
+
+bool
+mh_core_ready (const MhCore *core)
+{
+  /* An ordinary change of leader must not make the load balancer drop the node. */
+  return core->leader.usable_us > 0
+         && core->now.mono_us - core->leader.usable_us < 10 * MH_SECOND_US;
+}
+
+void
+mh_core_step (MhCore *core)
+{
+  core->wake_us = core->now.mono_us + MH_SECOND_US / 2;
+  mh_leader_step (core);
+  if (core->leader.phase >= MH_PHASE_REBUILD && mh_leader_valid (core))
+    {
+      mh_fleet_step (core);
+      if (core->leader.phase == MH_PHASE_LEAD)
+        mh_place_step (core);
+      mh_scale_step (core);
+      mh_store_step (core);
+    }
+  flush_calls (core);
+}
+
+void
+mh_core_tick (MhCore *core, const MhNow *now)
+{
+  core->now = *now;
+  mh_core_step (core);
+}
+
+MhCore *
+mh_core_new (const MhSettings *settings, const MhNow *now)
+{
+  MhCore *core = g_new0 (MhCore, 1);
+  gint64 t = now->mono_us;
+  core->settings = settings;
+  core->now = *now;
+  core->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, call_free);
+  core->forwards = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  core->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) mh_job_free);
+  core->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  core->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mh_fleet_free_machine);
+  core->team_use = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  core->scale.refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_queue_init (&core->actions);
+  /* The other controllers read and watch a little too. */
+  mh_bucket_init (&core->state_bucket, settings->state_rps * 0.75, settings->state_rps * 0.4, t);
+  mh_bucket_init (&core->write_bucket, settings->state_write_rps * 0.9,
+                  settings->state_write_rps * 0.8, t);
+  mh_bucket_init (&core->cloud_bucket, settings->cloud_rps * 0.9, settings->cloud_rps * 1.5, t);
+  mh_leader_start (core);
+  return core;
+}
+
+void
+mh_core_free (MhCore *core)
+{
+  if (core == NULL)
+    return;
+  mh_store_clear (core);
+  mh_fleet_clear (core);
+  mh_scale_clear (core);
+  mh_core_drop_calls (core);
+  g_queue_clear_full (&core->actions, (GDestroyNotify) mh_action_free);
+  g_queue_clear_full (&core->finals_order, g_free);
+  g_clear_pointer (&core->types, g_ptr_array_unref);
+  g_hash_table_unref (core->calls);
+  g_hash_table_unref (core->forwards);
+  g_hash_table_unref (core->machines);
+  g_hash_table_unref (core->jobs);
+  g_hash_table_unref (core->finals);
+  g_hash_table_unref (core->team_use);
+  g_hash_table_unref (core->scale.refused);
+  g_free (core->leader.node);
+  g_free (core);
+}
--- /dev/null
+++ b/src/core.h
@@ -0,0 +1,58 @@
+/* The scheduler's core: a pure state machine. Each input is given the time and returns at once;
+   what is to be sent, written, answered or logged is then taken with mh_core_pop(). */
+#pragma once
+
+#include "settings.h"
+#include "wire.h"
+
+typedef struct MhCore MhCore;
+
+typedef struct
+{
+  gint64 mono_us; /* steady clock */
+  gint64 wall_us; /* time of day */
+  double jitter;  /* a fresh random number in [0, 1) */
+} MhNow;
+
+typedef enum
+{
+  MH_ACTION_CALL,        /* make a request; its end comes back through mh_core_reply */
+  MH_ACTION_FORWARD,     /* hand a user's request to another controller */
+  MH_ACTION_ANSWER_USER, /* answer a user's request */
+  MH_ACTION_ANSWER_HELLO,
+  MH_ACTION_LOG
+} MhActionKind;
+
+typedef struct
+{
+  MhActionKind kind;
+  guint64 id;         /* of the call or of the request that is answered */
+  gint64 timeout_us;  /* CALL, FORWARD */
+  MhRequest *request; /* CALL */
+  MhUserAnswer answer;
+  guint status;   /* ANSWER_HELLO */
+  MhValue *body;  /* ANSWER_HELLO */
+  char *text;     /* FORWARD: the node; LOG: the line */
+  GLogLevelFlags level;
+} MhAction;
+
+void mh_action_free (MhAction *action);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhAction, mh_action_free)
+
+MhCore *mh_core_new (const MhSettings *settings, const MhNow *now);
+void mh_core_free (MhCore *core);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhCore, mh_core_free)
+
+/* Inputs. Bodies and reports are borrowed; a spec is taken over. */
+void mh_core_tick (MhCore *core, const MhNow *now);
+void mh_core_user (MhCore *core, const MhNow *now, guint64 id, MhUserVerb verb, const char *job,
+                   MhJobSpec *spec, bool forwarded);
+void mh_core_hello (MhCore *core, const MhNow *now, guint64 id, const MhReport *report);
+/* status 0: no answer, so that whether the request was carried out is unknown. */
+void mh_core_reply (MhCore *core, const MhNow *now, guint64 id, guint status, const MhValue *body);
+/* The other controller's answer; NULL when none came in time. */
+void mh_core_forwarded (MhCore *core, const MhNow *now, guint64 id, const MhUserAnswer *answer);
+
+MhAction *mh_core_pop (MhCore *core);
+gint64 mh_core_next_wake (const MhCore *core); /* steady time of the next tick that is needed */
+bool mh_core_ready (const MhCore *core);
--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,848 @@
+/* Workers and machines: what reports say, what is ordered, and when a task is proven gone. */
+#include "core-private.h"
+
+#include <string.h>
+
+#define DIRECT_TIMEOUT_US (2 * MH_SECOND_US)
+/* An unanswered command is fenced by a new epoch after this. */
+#define LOOSE_US (6 * MH_SECOND_US)
+#define REMEMBER_GONE_US (90 * MH_SECOND_US)
+/* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
+#define FAULTY_ERRORS 2u
+
+static void
+loose_clear (gpointer data)
+{
+  g_free (((MhLoose *) data)->job);
+}
+
+static void
+stray_clear (gpointer data)
+{
+  g_free (((MhStray *) data)->job);
+}
+
+static void
+cached_free (gpointer data)
+{
+  g_free (((MhCached *) data)->name);
+  g_free (data);
+}
+
+void
+mh_fleet_free_machine (gpointer data)
+{
+  MhMachine *m = data;
+  g_free (m->name);
+  g_free (m->endpoint);
+  g_free (m->zone);
+  g_free (m->type_name);
+  g_free (m->error_job);
+  g_ptr_array_unref (m->attempts);
+  g_array_unref (m->loose);
+  g_array_unref (m->strays);
+  g_ptr_array_unref (m->cache);
+  g_free (m);
+}
+
+MhMachine *
+mh_fleet_machine (MhCore *core, const char *name)
+{
+  return g_hash_table_lookup (core->machines, name);
+}
+
+static void
+resolve_type (MhCore *core, MhMachine *m)
+{
+  m->type = NULL;
+  for (guint i = 0; core->types && m->type_name && i < core->types->len; i++)
+    {
+      const MhMachineType *t = g_ptr_array_index (core->types, i);
+      if (strcmp (t->name, m->type_name) == 0)
+        m->type = t;
+    }
+}
+
+void
+mh_fleet_types_changed (MhCore *core)
+{
+  GHashTableIter it;
+  gpointer m;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &m))
+    resolve_type (core, m);
+}
+
+MhMachine *
+mh_fleet_add (MhCore *core, const char *name, const char *type, const char *zone, bool spot)
+{
+  MhMachine *m = g_new0 (MhMachine, 1);
+  m->name = g_strdup (name);
+  m->type_name = g_strdup (type);
+  m->zone = g_strdup (zone);
+  m->spot = spot;
+  m->known_us = m->rented_us = m->heard_us = m->idle_us = core->now.mono_us;
+  m->notice_until_us = -1;
+  m->attempts = g_ptr_array_new ();
+  m->loose = g_array_new (FALSE, FALSE, sizeof (MhLoose));
+  g_array_set_clear_func (m->loose, loose_clear);
+  m->strays = g_array_new (FALSE, FALSE, sizeof (MhStray));
+  g_array_set_clear_func (m->strays, stray_clear);
+  m->cache = g_ptr_array_new_with_free_func (cached_free);
+  resolve_type (core, m);
+  g_hash_table_insert (core->machines, m->name, m);
+  return m;
+}
+
+void
+mh_fleet_clear (MhCore *core)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      MhMachine *m = value;
+      for (guint i = 0; i < m->attempts->len; i++)
+        g_free (g_ptr_array_index (m->attempts, i));
+    }
+  g_hash_table_remove_all (core->machines);
+  g_hash_table_remove_all (core->team_use);
+}
+
+/* The reports that come after a reload are measured from here, not from before. */
+void
+mh_fleet_loaded (MhCore *core)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      MhJob *job = value;
+      if (job->cancelled)
+        mh_fleet_kill_job (core, job);
+      else if (job->n_done == job->spec->tasks)
+        {
+          job->finished = true;
+          mh_store_touch (core, &job->records[0]);
+        }
+    }
+}
+
+bool
+mh_fleet_silent (const MhCore *core, const MhMachine *m, gint64 for_us)
+{
+  return core->now.mono_us - m->heard_us > for_us;
+}
+
+/* ---- images ---- */
+
+bool
+mh_fleet_cached (const MhMachine *m, const char *image)
+{
+  for (guint i = 0; i < m->cache->len; i++)
+    if (strcmp (((MhCached *) g_ptr_array_index (m->cache, i))->name, image) == 0)
+      return true;
+  return false;
+}
+
+/* Machines keep the most recently used images; this is our own account of it. */
+void
+mh_fleet_cache (MhMachine *m, const char *image, double gb)
+{
+  double total = gb;
+  MhCached *c = NULL;
+  for (guint i = 0; i < m->cache->len; i++)
+    {
+      MhCached *other = g_ptr_array_index (m->cache, i);
+      if (strcmp (other->name, image) == 0)
+        {
+          c = other;
+          g_ptr_array_steal_index (m->cache, i);
+          break;
+        }
+    }
+  if (c == NULL)
+    {
+      c = g_new0 (MhCached, 1);
+      c->name = g_strdup (image);
+      c->gb = gb;
+    }
+  for (guint i = 0; i < m->cache->len; i++)
+    total += ((MhCached *) g_ptr_array_index (m->cache, i))->gb;
+  while (m->type && m->cache->len && total > m->type->cache_gb)
+    {
+      total -= ((MhCached *) g_ptr_array_index (m->cache, 0))->gb;
+      g_ptr_array_remove_index (m->cache, 0);
+    }
+  g_ptr_array_add (m->cache, c); /* the last one used stands last */
+}
+
+/* ---- attempts ---- */
+
+static MhUse *
+team_use (MhCore *core, const char *team)
+{
+  MhUse *u = g_hash_table_lookup (core->team_use, team);
+  if (u == NULL)
+    {
+      MhTeam *t = mh_settings_team (core->settings, team);
+      u = g_new0 (MhUse, 1);
+      /* A team that the settings no longer name still has its name in its jobs' specs, but those
+         go away; the settings' copy stays. */
+      if (t)
+        g_hash_table_insert (core->team_use, t->name, u);
+      else
+        g_hash_table_insert (core->team_use, (gpointer) g_intern_string (team), u);
+    }
+  return u;
+}
+
+static void
+account (MhCore *core, MhAttempt *a, double sign)
+{
+  const MhJobSpec *s = a->job->spec;
+  MhUse *u = team_use (core, s->team);
+  u->cpus += sign * s->cpus;
+  u->gpus += sign * s->gpus;
+  a->machine->used_cpus += sign * s->cpus;
+  a->machine->used_gpus += sign * s->gpus;
+  a->machine->used_mem += sign * s->mem_gb;
+}
+
+MhAttempt *
+mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, MhMachine *m)
+{
+  MhTask *t = &job->tasks[index];
+  MhAttempt *a = g_new0 (MhAttempt, 1);
+  a->job = job;
+  a->index = index;
+  a->attempt = ++t->attempt;
+  a->machine = m;
+  a->placed_us = core->now.mono_us;
+  a->phase = MH_TASK_FETCHING;
+  t->live = a;
+  t->state = MH_TASK_LIVE;
+  job->n_live++;
+  g_ptr_array_add (m->attempts, a);
+  account (core, a, 1);
+  return a;
+}
+
+static void
+job_check_over (MhCore *core, MhJob *job)
+{
+  bool over = job->cancelled ? job->n_live == 0 : job->n_done == job->spec->tasks;
+  if (over && !job->finished)
+    {
+      job->finished = true;
+      mh_store_touch (core, &job->records[0]);
+    }
+}
+
+static void
+set_running (MhAttempt *a, bool running, gint64 now_us)
+{
+  if (running && a->running_us == 0)
+    {
+      a->running_us = now_us;
+      a->job->n_running++;
+    }
+  else if (!running && a->running_us)
+    {
+      a->running_us = 0;
+      a->job->n_running--;
+    }
+}
+
+void
+mh_fleet_attempt_over (MhCore *core, MhAttempt *a, bool done)
+{
+  MhJob *job = a->job;
+  MhMachine *m = a->machine;
+  MhTask *t = &job->tasks[a->index];
+  set_running (a, false, 0);
+  account (core, a, -1);
+  g_ptr_array_remove_fast (m->attempts, a);
+  if (m->attempts->len == 0)
+    {
+      m->idle_us = core->now.mono_us;
+      m->used_cpus = m->used_gpus = m->used_mem = 0; /* no rounding left behind */
+    }
+  t->live = NULL;
+  t->state = done ? MH_TASK_DONE : MH_TASK_PENDING;
+  job->n_live--;
+  if (done)
+    {
+      job->n_done++;
+      mh_store_touch (core, mh_job_record (job, a->index));
+    }
+  else
+    job->cursor = MIN (job->cursor, a->index);
+  g_free (a);
+  job_check_over (core, job);
+  core->place_wanted = true;
+}
+
+void
+mh_fleet_kill (MhCore *core, MhAttempt *a, gint64 grace_us)
+{
+  if (!a->ordered && !a->loaded)
+    {
+      /* No order ever left: there is nothing to wait for. */
+      mh_fleet_attempt_over (core, a, false);
+      return;
+    }
+  if (a->kill && grace_us >= a->grace_us)
+    return;
+  a->kill = true;
+  a->grace_us = grace_us;
+  a->killed_us = 0;
+}
+
+void
+mh_fleet_kill_job (MhCore *core, MhJob *job)
+{
+  for (guint i = 0; i < job->spec->tasks && job->n_live; i++)
+    if (job->tasks[i].live)
+      mh_fleet_kill (core, job->tasks[i].live, 0);
+  job_check_over (core, job);
+}
+
+void
+mh_fleet_gone (MhCore *core, MhMachine *m)
+{
+  m->gone = true;
+  m->gone_us = core->now.mono_us;
+  while (m->attempts->len)
+    mh_fleet_attempt_over (core, g_ptr_array_index (m->attempts, m->attempts->len - 1), false);
+  g_array_set_size (m->loose, 0);
+  g_array_set_size (m->strays, 0);
+}
+
+/* ---- reports ---- */
+
+static bool
+is_loose (const MhMachine *m, const char *job, guint index, guint64 attempt)
+{
+  for (guint i = 0; i < m->loose->len; i++)
+    {
+      const MhLoose *l = &g_array_index (m->loose, MhLoose, i);
+      if (l->index == index && l->attempt == attempt && strcmp (l->job, job) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* A late command is carried out only under its own tenure and an epoch that the worker has not
+   outgrown. */
+static void
+settle_loose (MhMachine *m)
+{
+  for (guint i = 0; i < m->loose->len;)
+    {
+      const MhLoose *l = &g_array_index (m->loose, MhLoose, i);
+      if (l->tenure < m->tenure || l->epoch < m->epoch)
+        g_array_remove_index_fast (m->loose, i);
+      else
+        i++;
+    }
+}
+
+/* May the attempt, which this report does not show, still be on the machine or come to it? */
+static bool
+proven_gone (const MhCore *core, const MhAttempt *a)
+{
+  const MhMachine *m = a->machine;
+  if (a->loaded)
+    return m->epoch >= core->leader.load_epoch;
+  if (!a->ordered)
+    return false;
+  if (a->order_tenure < m->tenure)
+    return true;
+  if (!a->seen && !a->kill)
+    return false; /* the start is simply sent again */
+  return m->direct == 0 && !is_loose (m, a->job->spec->id, a->index, a->attempt)
+         && (a->hello_tick == 0 || m->tick > a->hello_tick);
+}
+
+static void
+machine_failed_task (MhCore *core, MhMachine *m, MhJob *job)
+{
+  job->errors++;
+  /* The first failure may be anybody's; a job that fails everywhere is held back ever longer. */
+  if (job->errors > 2)
+    {
+      gint64 wait = MH_SECOND_US << MIN (job->errors - 2, 6u);
+      job->retry_us = core->now.mono_us + wait;
+      mh_info (core, "job %s: failed %u times in a row; next start in %d s", job->spec->id,
+               job->errors, (int) (wait / MH_SECOND_US));
+    }
+  m->errors++;
+  bool other = m->error_job && strcmp (m->error_job, job->spec->id) != 0;
+  if (m->error_job == NULL)
+    m->error_job = g_strdup (job->spec->id);
+  if (m->errors >= FAULTY_ERRORS && (other || job->errors <= m->errors))
+    mh_scale_release (core, m, "fails every task");
+  else
+    m->hold_us = core->now.mono_us + 5 * MH_SECOND_US;
+}
+
+static void
+attempt_ended (MhCore *core, MhAttempt *a, MhCause cause)
+{
+  MhMachine *m = a->machine;
+  MhJob *job = a->job;
+  switch (cause)
+    {
+    case MH_CAUSE_DONE:
+      job->errors = 0;
+      m->errors = 0;
+      g_clear_pointer (&m->error_job, g_free);
+      break;
+    case MH_CAUSE_ERROR:
+      mh_info (core, "task %s/%u: failed on %s", job->spec->id, a->index, m->name);
+      machine_failed_task (core, m, job);
+      break;
+    case MH_CAUSE_NO_ROOM:
+    case MH_CAUSE_BUSY:
+      mh_info (core, "task %s/%u: %s refused it: %s", job->spec->id, a->index, m->name,
+               cause == MH_CAUSE_BUSY ? "another attempt is there" : "no room");
+      m->hold_us = core->now.mono_us + MH_SECOND_US;
+      break;
+    case MH_CAUSE_UNKNOWN:
+      mh_info (core, "task %s/%u: %s does not know the job yet", job->spec->id, a->index, m->name);
+      job->retry_us = core->now.mono_us + 2 * MH_SECOND_US;
+      break;
+    default:
+      break;
+    }
+  mh_fleet_attempt_over (core, a, cause == MH_CAUSE_DONE);
+}
+
+static void
+observe_task (MhCore *core, MhMachine *m, const MhReportTask *t)
+{
+  MhJob *job = g_hash_table_lookup (core->jobs, t->job);
+  MhTask *task = job && t->index < job->spec->tasks ? &job->tasks[t->index] : NULL;
+  MhAttempt *a = task ? task->live : NULL;
+  if (task && t->attempt > task->attempt)
+    {
+      /* Each attempt is written before it is ordered: memory must be behind the records. */
+      mh_leader_lost (core, "a worker runs an attempt that is not on record here");
+      return;
+    }
+  if (a && a->machine == m && a->attempt == t->attempt)
+    {
+      a->seen = a->present = true;
+      a->phase = t->phase;
+      set_running (a, t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING,
+                   core->now.mono_us);
+      mh_fleet_cache (m, job->spec->image, job->spec->image_gb);
+      if (t->phase != MH_TASK_ENDED)
+        return;
+      attempt_ended (core, a, t->cause);
+    }
+  MhStray stray = { .job = g_strdup (t->job),
+                    .index = t->index,
+                    .attempt = t->attempt,
+                    .ended = t->phase == MH_TASK_ENDED };
+  g_array_append_val (m->strays, stray);
+}
+
+static void
+observe (MhCore *core, MhMachine *m, const MhReport *r, bool hello)
+{
+  bool first = !m->reported;
+  m->reported = true;
+  m->heard_us = core->now.mono_us;
+  m->tenure = r->tenure;
+  m->tick = r->tick;
+  m->epoch = r->epoch;
+  if (first)
+    {
+      m->idle_us = core->now.mono_us;
+      core->place_wanted = true;
+      mh_info (core, "machine %s: reports (%s in %s%s, %u tasks)", m->name, r->type, r->zone,
+               r->spot ? ", spot" : "", r->tasks->len);
+    }
+  if (m->endpoint == NULL || strcmp (m->endpoint, r->endpoint) != 0)
+    {
+      g_free (m->endpoint);
+      m->endpoint = g_strdup (r->endpoint);
+    }
+  if (m->zone == NULL)
+    m->zone = g_strdup (r->zone);
+  if (m->type_name == NULL)
+    {
+      m->type_name = g_strdup (r->type);
+      resolve_type (core, m);
+    }
+  m->spot = r->spot;
+  if (r->notice_us >= 0 && m->notice_until_us < 0)
+    mh_info (core, "machine %s: the cloud takes it back in %.1f s", m->name,
+             (double) r->notice_us / MH_SECOND_US);
+  m->notice_until_us = r->notice_us >= 0 ? core->now.mono_us + r->notice_us : -1;
+  settle_loose (m);
+
+  for (guint i = 0; i < m->attempts->len; i++)
+    ((MhAttempt *) g_ptr_array_index (m->attempts, i))->present = false;
+  g_array_set_size (m->strays, 0);
+  for (guint i = 0; i < r->tasks->len; i++)
+    observe_task (core, m, &g_array_index (r->tasks, MhReportTask, i));
+  /* Absence counts in a report only: the reply to a direct command may overtake the starts that
+     the last response carries. */
+  if (hello)
+    for (guint i = m->attempts->len; i-- > 0;)
+      {
+        MhAttempt *a = g_ptr_array_index (m->attempts, i);
+        if (a->present || !proven_gone (core, a))
+          continue;
+        mh_info (core, "task %s/%u: attempt %u is gone from %s", a->job->spec->id, a->index,
+                 a->attempt, m->name);
+        mh_fleet_attempt_over (core, a, false);
+      }
+}
+
+static bool
+newer (const MhMachine *m, const MhReport *r)
+{
+  return !m->reported || r->tenure > m->tenure || (r->tenure == m->tenure && r->tick > m->tick);
+}
+
+/* ---- orders ---- */
+
+static void
+add_order (GArray *orders, MhOrderKind kind, const char *job, guint index, guint64 attempt,
+           gint64 grace_us)
+{
+  MhOrder o = { .kind = kind,
+                .job = g_strdup (job),
+                .index = index,
+                .attempt = attempt,
+                .grace_us = grace_us };
+  g_array_append_val (orders, o);
+}
+
+static bool
+may_start (const MhAttempt *a)
+{
+  const MhRecord *r = mh_job_record (a->job, a->index);
+  return !a->seen && !a->kill && !a->loaded && r->durable >= a->need_rev && !mh_job_over (a->job)
+         && !a->machine->releasing;
+}
+
+/* Starts and stops for a machine. Directly, only what has not been said before. */
+static void
+attempt_orders (MhCore *core, MhMachine *m, GArray *orders, bool direct)
+{
+  gint64 now = core->now.mono_us;
+  for (guint i = 0; i < m->attempts->len; i++)
+    {
+      MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      const char *job = a->job->spec->id;
+      if (a->kill && !(direct && a->killed_us))
+        {
+          /* One that saves longer than it was given is ended by a second order. */
+          bool late = a->killed_us && now > a->killed_us + a->grace_us + MH_SECOND_US;
+          add_order (orders, MH_ORDER_STOP, job, a->index, a->attempt, late ? 0 : a->grace_us);
+          if (a->killed_us == 0)
+            a->killed_us = now;
+        }
+      else if (!a->kill && may_start (a) && !(direct && a->ordered))
+        {
+          add_order (orders, MH_ORDER_START, job, a->index, a->attempt, 0);
+          a->ordered = true;
+          a->order_epoch = core->leader.own_epoch;
+          a->order_tenure = m->tenure;
+          if (!direct)
+            a->hello_tick = m->tick;
+        }
+    }
+}
+
+static void
+stray_orders (MhCore *core, MhMachine *m, GArray *orders)
+{
+  for (guint i = 0; i < m->strays->len; i++)
+    {
+      const MhStray *s = &g_array_index (m->strays, MhStray, i);
+      if (!s->ended)
+        {
+          mh_info (core, "task %s/%u: stopping stray attempt %" G_GUINT64_FORMAT " on %s", s->job,
+                   s->index, s->attempt, m->name);
+          add_order (orders, MH_ORDER_STOP, s->job, s->index, s->attempt, 0);
+          continue;
+        }
+      /* Once cleared the attempt is forgotten there, and a start that is still on its way would run
+         it again; and a result must not be cleared before it is on record. */
+      if (m->direct || is_loose (m, s->job, s->index, s->attempt))
+        continue;
+      MhJob *job = g_hash_table_lookup (core->jobs, s->job);
+      if (job && s->index < job->spec->tasks && job->tasks[s->index].state == MH_TASK_DONE)
+        {
+          const MhRecord *r = mh_job_record (job, s->index);
+          if (job->finished || r->durable < r->rev)
+            continue;
+        }
+      add_order (orders, MH_ORDER_FORGET, s->job, s->index, s->attempt, 0);
+    }
+}
+
+typedef struct
+{
+  char *machine;
+  GArray *orders;
+  guint64 epoch, tenure;
+} Direct;
+
+static void
+direct_free (gpointer data)
+{
+  Direct *d = data;
+  g_free (d->machine);
+  g_array_unref (d->orders);
+  g_free (d);
+}
+
+static MhAttempt *
+find_attempt (MhMachine *m, const MhOrder *o)
+{
+  for (guint i = 0; i < m->attempts->len; i++)
+    {
+      MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      if (a->index == o->index && a->attempt == o->attempt
+          && strcmp (a->job->spec->id, o->job) == 0)
+        return a;
+    }
+  return NULL;
+}
+
+static void
+direct_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  Direct *d = data;
+  MhMachine *m = mh_fleet_machine (core, d->machine);
+  g_autoptr (MhReport) r
+      = status == 200 || status == 409 ? mh_wire_read_report (body) : NULL;
+  if (m == NULL || m->gone)
+    return;
+  m->direct--;
+  for (guint i = 0; i < d->orders->len; i++)
+    {
+      const MhOrder *o = &g_array_index (d->orders, MhOrder, i);
+      MhAttempt *a = find_attempt (m, o);
+      if (o->kind == MH_ORDER_STOP)
+        {
+          if (a && status != 200)
+            a->killed_us = 0;
+        }
+      else if (status == 409 || status == 400)
+        {
+          if (a && !a->seen && a->hello_tick == 0)
+            a->ordered = false; /* nothing was carried out */
+        }
+      else if (status != 200)
+        {
+          MhLoose l = { .job = g_strdup (o->job),
+                        .index = o->index,
+                        .attempt = o->attempt,
+                        .epoch = d->epoch,
+                        .tenure = d->tenure,
+                        .since_us = core->now.mono_us };
+          g_array_append_val (m->loose, l);
+        }
+    }
+  if (r == NULL)
+    {
+      settle_loose (m);
+      return;
+    }
+  if (strcmp (r->machine, m->name) != 0 || !newer (m, r))
+    return;
+  if (r->epoch > core->leader.own_epoch)
+    mh_leader_lost (core, "a worker has seen a higher epoch");
+  else
+    observe (core, m, r, false);
+}
+
+static void
+send_direct (MhCore *core, MhMachine *m)
+{
+  /* One at a time, and none to a machine that may not be there: each unanswered command costs an
+     epoch. Its next report will carry them. */
+  if (!core->settings->direct || m->direct || !m->reported || m->releasing || m->endpoint == NULL
+      || m->loose->len || mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
+      || m->epoch > core->leader.own_epoch || core->leader.bumping)
+    return;
+  g_autoptr (GArray) orders = mh_orders_new ();
+  attempt_orders (core, m, orders, true);
+  if (orders->len == 0)
+    return;
+  Direct *d = g_new0 (Direct, 1);
+  d->machine = g_strdup (m->name);
+  d->orders = g_array_ref (orders);
+  d->epoch = core->leader.own_epoch;
+  d->tenure = m->tenure;
+  m->direct++;
+  mh_core_call (core, MH_RANK_WORK, mh_wire_commands (m->endpoint, d->epoch, d->tenure, orders), 0,
+                DIRECT_TIMEOUT_US, direct_reply, d, direct_free);
+}
+
+/* ---- hello ---- */
+
+/* A leader that cannot renew its lease may keep workers' tasks alive, without ordering anything,
+   for so long that a task cancelled by a successor is still gone in time: the worker's own lease
+   ends at the latest lease_s after the last answer. */
+static bool
+may_keep_alive (const MhCore *core)
+{
+  const MhSettings *s = core->settings;
+  gint64 spare = s->cancel_us - s->worker_lease_us - 4 * MH_SECOND_US;
+  return core->leader.phase >= MH_PHASE_REBUILD && !core->leader.lost
+         && core->now.mono_us < core->leader.confirmed_us + spare;
+}
+
+static void
+answer_hello (MhCore *core, guint64 id, guint status, MhValue *body)
+{
+  MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_HELLO, id);
+  a->status = status;
+  a->body = body;
+}
+
+void
+mh_fleet_hello (MhCore *core, guint64 id, const MhReport *r)
+{
+  if (r->epoch > core->leader.own_epoch)
+    {
+      mh_leader_lost (core, "a worker has seen a higher epoch");
+      answer_hello (core, id, 421, mh_wire_write_redirect (NULL));
+      return;
+    }
+  bool valid = mh_leader_valid (core);
+  if (!valid && !may_keep_alive (core))
+    {
+      answer_hello (core, id, 503, NULL);
+      return;
+    }
+  g_autoptr (GArray) orders = mh_orders_new ();
+  if (core->leader.phase >= MH_PHASE_REBUILD)
+    {
+      MhMachine *m = mh_fleet_machine (core, r->machine);
+      if (m && m->gone)
+        {
+          answer_hello (core, id, 503, NULL);
+          return;
+        }
+      if (m == NULL)
+        {
+          mh_info (core, "machine %s: not known before; it is used", r->machine);
+          m = mh_fleet_add (core, r->machine, r->type, r->zone, r->spot);
+        }
+      if (newer (m, r))
+        {
+          observe (core, m, r, true);
+          if (valid && !core->leader.lost)
+            {
+              attempt_orders (core, m, orders, false);
+              stray_orders (core, m, orders);
+            }
+        }
+    }
+  answer_hello (core, id, 200, mh_wire_write_orders (core->leader.own_epoch, NULL, orders));
+}
+
+/* ---- time ---- */
+
+static void
+check_silence (MhCore *core, MhMachine *m, gint64 patience_us)
+{
+  gint64 now = core->now.mono_us;
+  if (m->reported || m->attempts->len)
+    {
+      /* A new leader's workers need time to find it. */
+      gint64 heard = MAX (m->heard_us, core->leader.since_us
+                                           + (m->reported ? 0 : 6 * MH_SECOND_US));
+      if (now - heard > patience_us)
+        mh_scale_release (core, m, "silent");
+      return;
+    }
+  gint64 boot = m->type ? m->type->boot_us : 60 * MH_SECOND_US;
+  if (now - m->rented_us > 4 * boot + 10 * MH_SECOND_US
+      && now - core->leader.since_us > core->settings->report_us * 2 + 6 * MH_SECOND_US)
+    mh_scale_release (core, m, "never came up");
+}
+
+static gint64
+patience (MhCore *core)
+{
+  guint silent = 0, all = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      MhMachine *m = value;
+      if (m->gone || m->releasing || !m->reported)
+        continue;
+      all++;
+      silent += mh_fleet_silent (core, m, core->settings->silence_us);
+    }
+  /* When most are silent at once it is rather this side that is cut off. */
+  if (silent >= 3 && silent * 2 > all)
+    return core->settings->worker_lease_us + 5 * MH_SECOND_US;
+  return core->settings->silence_us;
+}
+
+static void
+drain_by_notice (MhCore *core, MhMachine *m)
+{
+  gint64 left = m->notice_until_us - core->now.mono_us;
+  for (guint i = m->attempts->len; i-- > 0;)
+    {
+      MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      const MhJobSpec *s = a->job->spec;
+      if (a->kill)
+        continue;
+      gint64 ran = a->running_us ? core->now.mono_us - a->running_us : 0;
+      if (s->checkpoint_us > 0 && a->running_us)
+        mh_fleet_kill (core, a, MAX (0, MIN (s->save_us, left)));
+      else if (s->shape == MH_SHAPE_SERVICE || s->estimate_us - ran > left)
+        mh_fleet_kill (core, a, 0);
+    }
+}
+
+void
+mh_fleet_step (MhCore *core)
+{
+  GHashTableIter it;
+  gpointer value;
+  gint64 now = core->now.mono_us;
+  gint64 limit = patience (core);
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      MhMachine *m = value;
+      if (m->gone)
+        {
+          if (now - m->gone_us > REMEMBER_GONE_US)
+            g_hash_table_iter_remove (&it);
+          continue;
+        }
+      if (m->releasing)
+        continue;
+      check_silence (core, m, limit);
+      if (m->notice_until_us >= 0)
+        drain_by_notice (core, m);
+      send_direct (core, m);
+      for (guint i = 0; i < m->loose->len; i++)
+        if (now - g_array_index (m->loose, MhLoose, i).since_us > LOOSE_US
+            && !mh_fleet_silent (core, m, 2 * core->settings->report_us))
+          {
+            mh_leader_bump (core);
+            break;
+          }
+    }
+}
--- /dev/null
+++ b/src/leader.c
@@ -0,0 +1,487 @@
+/* Leadership: a key in the state service attached to a lease, and an epoch that rises with each
+   leadership and fences workers against earlier leaders. */
+#include "core-private.h"
+
+#include <string.h>
+
+#define CALL_TIMEOUT_US (MH_SECOND_US)
+/* Steady clocks drift apart by up to 0.05%; a little more is allowed for, and the time in which a
+   decision made just before the end still leaves the process. */
+#define DRIFT 0.001
+#define MARGIN_US 100000
+#define WATCH_US (5 * MH_SECOND_US)
+
+bool
+mh_leader_valid (const MhCore *core)
+{
+  return core->leader.phase >= MH_PHASE_LOAD && !core->leader.lost
+         && core->now.mono_us < core->leader.valid_until_us;
+}
+
+static gint64
+lease_end (const MhCore *core, gint64 sent_us)
+{
+  return sent_us + (gint64) ((double) core->settings->lease_us * (1 - DRIFT)) - MARGIN_US;
+}
+
+static bool
+self (const MhCore *core)
+{
+  return core->leader.node && strcmp (core->leader.node, core->settings->node) == 0;
+}
+
+/* ---- following ---- */
+
+static void watch (MhCore *core, guint64 since);
+static void look (MhCore *core);
+static void campaign (MhCore *core);
+
+static void
+retry (MhCore *core, gint64 after_us)
+{
+  core->leader.busy = false;
+  core->leader.retry_us
+      = core->now.mono_us + after_us + (gint64) (core->now.jitter * (double) after_us);
+}
+
+static void
+learn (MhCore *core, const MhEntry *e)
+{
+  char *node = NULL;
+  guint64 epoch = 0;
+  if (e->value == NULL || !mh_record_read_leader (e->value, &node, &epoch))
+    {
+      g_clear_pointer (&core->leader.node, g_free);
+      return;
+    }
+  if (g_strcmp0 (node, core->leader.node) != 0)
+    mh_info (core, "leader: %s, epoch %" G_GUINT64_FORMAT, node, epoch);
+  g_free (core->leader.node);
+  core->leader.node = node;
+  core->leader.epoch = epoch;
+  core->leader.key_stamp = e->stamp;
+  core->leader.usable_us = core->now.mono_us;
+}
+
+static void
+look_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  (void) data;
+  if (status == 404)
+    {
+      g_clear_pointer (&core->leader.node, g_free);
+      core->leader.key_stamp = 0;
+      campaign (core);
+      return;
+    }
+  MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
+  if (e == NULL)
+    {
+      retry (core, 200000);
+      return;
+    }
+  learn (core, e);
+  guint64 stamp = e->stamp;
+  mh_entry_free (e);
+  /* An earlier life of this very process held the lease: nobody else may take it before its end,
+     but this process may, since the earlier life is over. */
+  if (self (core))
+    campaign (core);
+  else
+    watch (core, stamp);
+}
+
+static void
+look (MhCore *core)
+{
+  core->leader.busy = true;
+  mh_core_call (core, MH_RANK_LEASE, mh_wire_get ("leader"), 0, CALL_TIMEOUT_US, look_reply, NULL,
+                NULL);
+}
+
+static void
+watch_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  guint64 ledger;
+  (void) data;
+  g_autoptr (GPtrArray) news = status == 200 ? mh_wire_read_news (body, &ledger) : NULL;
+  if (news == NULL)
+    {
+      retry (core, 200000);
+      return;
+    }
+  const MhEntry *last = NULL;
+  for (guint i = 0; i < news->len; i++)
+    {
+      const MhEntry *e = g_ptr_array_index (news, i);
+      if (strcmp (e->key, "leader") == 0)
+        last = e;
+    }
+  if (last == NULL)
+    {
+      core->leader.usable_us = core->now.mono_us;
+      watch (core, ledger);
+    }
+  else if (last->value == NULL)
+    {
+      mh_info (core, "leader %s: its lease has ended",
+               core->leader.node ? core->leader.node : "unknown");
+      g_clear_pointer (&core->leader.node, g_free);
+      core->leader.key_stamp = 0;
+      campaign (core);
+    }
+  else
+    {
+      learn (core, last);
+      if (self (core))
+        campaign (core);
+      else
+        watch (core, last->stamp);
+    }
+}
+
+static void
+watch (MhCore *core, guint64 since)
+{
+  core->leader.phase = MH_PHASE_FOLLOW;
+  core->leader.busy = true;
+  mh_core_call (core, MH_RANK_LEASE, mh_wire_watch ("leader", since, WATCH_US), 0,
+                WATCH_US + CALL_TIMEOUT_US, watch_reply, NULL, NULL);
+}
+
+/* ---- campaign: a lease, then key and epoch in one transaction ---- */
+
+static void
+ignore_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  (void) core;
+  (void) data;
+  (void) status;
+  (void) body;
+}
+
+/* The lease is ended, so that a late copy of the transaction cannot take the key with it. */
+static void
+give_up_campaign (MhCore *core, gint64 again_us)
+{
+  core->leader.phase = MH_PHASE_FOLLOW;
+  if (core->leader.claim)
+    mh_core_call (core, MH_RANK_STRANGER, mh_wire_revoke (core->leader.claim), 0, CALL_TIMEOUT_US,
+                  ignore_reply, NULL, NULL);
+  core->leader.claim = 0;
+  retry (core, again_us);
+}
+
+static void
+won (MhCore *core, guint64 stamp)
+{
+  core->leader.own_stamp = core->leader.key_stamp = stamp;
+  g_free (core->leader.node);
+  core->leader.node = g_strdup (core->settings->node);
+  core->leader.epoch = core->leader.own_epoch;
+  core->leader.since_us = core->now.mono_us;
+  core->leader.busy = false;
+  core->leader.phase = MH_PHASE_LOAD;
+  core->leader.load_epoch = core->leader.own_epoch;
+  core->leader.renew_us = core->now.mono_us;
+  core->scale.rentals = 0;
+  mh_info (core, "leading with epoch %" G_GUINT64_FORMAT "; loading records",
+           core->leader.own_epoch);
+  mh_store_load (core);
+}
+
+static void
+check_won_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  (void) data;
+  MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
+  g_autofree char *node = NULL;
+  guint64 epoch;
+  bool mine = e && mh_record_read_leader (e->value, &node, &epoch)
+              && strcmp (node, core->settings->node) == 0 && epoch == core->leader.own_epoch;
+  guint64 stamp = e ? e->stamp : 0;
+  mh_entry_free (e);
+  if (mine && core->now.mono_us < core->leader.valid_until_us)
+    won (core, stamp);
+  else
+    give_up_campaign (core, 100000);
+}
+
+static void
+take_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  guint64 stamp;
+  (void) data;
+  if (status == 200 && mh_wire_read_ledger (body, &stamp))
+    {
+      if (core->now.mono_us < core->leader.valid_until_us)
+        won (core, stamp);
+      else
+        give_up_campaign (core, 100000);
+    }
+  else if (status == 0 || status == 200)
+    /* Unknown: it may have been carried out. */
+    mh_core_call (core, MH_RANK_LEASE, mh_wire_get ("leader"), 0, CALL_TIMEOUT_US,
+                  check_won_reply, NULL, NULL);
+  else
+    give_up_campaign (core, status == 409 ? 20000 : 200000);
+}
+
+static void
+put_leader (MhCore *core, guint64 epoch, guint64 key_stamp, guint64 epoch_stamp, bool check_epoch,
+            MhReplyFunc reply)
+{
+  MhCondition conditions[] = { { "leader", key_stamp }, { "epoch", epoch_stamp } };
+  g_autoptr (MhValue) leader = mh_record_write_leader (core->settings->node, epoch);
+  g_autoptr (MhValue) number = mh_record_write_epoch (epoch);
+  MhChange changes[] = { { "leader", leader, core->leader.claim }, { "epoch", number, 0 } };
+  mh_core_call (core, MH_RANK_LEASE,
+                mh_wire_txn (conditions, check_epoch ? 2 : 1, changes, G_N_ELEMENTS (changes)), 2,
+                CALL_TIMEOUT_US, reply, NULL, NULL);
+}
+
+static void
+epoch_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  guint64 epoch = 0, stamp = 0;
+  (void) data;
+  if (status == 200)
+    {
+      MhEntry *e = mh_wire_read_entry (body);
+      bool ok = e && mh_record_read_epoch (e->value, &epoch);
+      stamp = e ? e->stamp : 0;
+      mh_entry_free (e);
+      if (!ok)
+        status = 0;
+    }
+  if (status != 200 && status != 404)
+    {
+      give_up_campaign (core, 200000);
+      return;
+    }
+  core->leader.own_epoch = epoch + 1;
+  put_leader (core, epoch + 1, core->leader.key_stamp, stamp, true, take_reply);
+}
+
+typedef struct
+{
+  gint64 sent_us;
+} Sent;
+
+static gpointer
+sent_now (const MhCore *core)
+{
+  Sent *s = g_new0 (Sent, 1);
+  s->sent_us = core->now.mono_us;
+  return s;
+}
+
+static void
+grant_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  if (status != 200 || !mh_wire_read_claim (body, &core->leader.claim))
+    {
+      give_up_campaign (core, 200000);
+      return;
+    }
+  core->leader.valid_until_us = lease_end (core, ((Sent *) data)->sent_us);
+  core->leader.confirmed_us = ((Sent *) data)->sent_us;
+  mh_core_call (core, MH_RANK_LEASE, mh_wire_get ("epoch"), 0, CALL_TIMEOUT_US, epoch_reply, NULL,
+                NULL);
+}
+
+static void
+campaign (MhCore *core)
+{
+  core->leader.phase = MH_PHASE_CAMPAIGN;
+  core->leader.busy = true;
+  core->leader.claim = 0;
+  mh_core_call (core, MH_RANK_LEASE, mh_wire_grant (core->settings->lease_us), 0, CALL_TIMEOUT_US,
+                grant_reply, sent_now (core), g_free);
+}
+
+/* ---- leading ---- */
+
+static void
+renew_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  gint64 sent = ((Sent *) data)->sent_us;
+  (void) body;
+  core->leader.renewing = false;
+  core->leader.renew_us = core->now.mono_us + core->settings->lease_us / 10;
+  if (status == 200)
+    {
+      if (core->now.mono_us >= core->leader.valid_until_us)
+        mh_info (core, "lease renewed after a pause: nobody else can have led meanwhile");
+      core->leader.valid_until_us = lease_end (core, sent);
+      core->leader.confirmed_us = sent;
+      core->leader.usable_us = core->now.mono_us;
+      core->leader.renew_us = sent + core->settings->lease_us / 4;
+    }
+  else if (status == 404)
+    mh_leader_lost (core, "the lease has ended");
+}
+
+void
+mh_leader_lost (MhCore *core, const char *why)
+{
+  /* Carried out at the start of the next step: the caller may still hold what would be freed. */
+  if (core->leader.lost == NULL)
+    core->leader.lost = why;
+}
+
+static void
+refuse_waiters (MhCore *core)
+{
+  GHashTableIter it;
+  gpointer job;
+  g_hash_table_iter_init (&it, core->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &job))
+    {
+      GArray *waiters = ((MhJob *) job)->waiters;
+      for (guint i = 0; i < waiters->len; i++)
+        mh_core_answer (core, g_array_index (waiters, MhWaiter, i).id, 503, 1);
+      g_array_set_size (waiters, 0);
+    }
+}
+
+static void
+step_down (MhCore *core)
+{
+  mh_info (core, "no longer leading: %s", core->leader.lost);
+  core->leader.lost = NULL;
+  refuse_waiters (core);
+  mh_core_drop_calls (core);
+  mh_store_clear (core);
+  mh_fleet_clear (core);
+  mh_scale_clear (core);
+  g_hash_table_remove_all (core->jobs);
+  core->leader.phase = MH_PHASE_FOLLOW;
+  core->leader.renewing = core->leader.bumping = false;
+  core->leader.valid_until_us = 0;
+  core->leader.own_epoch = 0;
+  core->leader.claim = 0;
+  if (self (core))
+    g_clear_pointer (&core->leader.node, g_free);
+  retry (core, 50000);
+}
+
+void
+mh_leader_loaded (MhCore *core, bool ok)
+{
+  if (!ok)
+    {
+      mh_leader_lost (core, "the records cannot be read");
+      return;
+    }
+  core->leader.phase = MH_PHASE_REBUILD;
+  /* Workers of a dead leader wait out a response (4 s) and then try its neighbours. */
+  core->leader.rebuild_until_us
+      = core->now.mono_us + 2 * core->settings->report_us + 2 * MH_SECOND_US;
+  core->leader.usable_us = core->now.mono_us;
+  mh_fleet_loaded (core);
+  mh_info (core, "%u unfinished jobs loaded; waiting for the workers' reports",
+           g_hash_table_size (core->jobs));
+  mh_scale_start (core);
+}
+
+/* Counts are rebuilt when every machine that a record or the list knows as running has reported. */
+static bool
+rebuilt (const MhCore *core)
+{
+  GHashTableIter it;
+  gpointer value;
+  if (core->now.mono_us >= core->leader.rebuild_until_us)
+    return true;
+  if (core->types == NULL || !core->scale.listed)
+    return false;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const MhMachine *m = value;
+      if (!m->gone && !m->releasing && !m->reported && (m->running || m->attempts->len))
+        return false;
+    }
+  return true;
+}
+
+static void
+bump_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  guint64 stamp;
+  (void) data;
+  if (status == 200 && mh_wire_read_ledger (body, &stamp))
+    {
+      core->leader.own_epoch++;
+      core->leader.own_stamp = stamp;
+      core->leader.bumping = false;
+      mh_info (core, "epoch raised to %" G_GUINT64_FORMAT " to fence unanswered commands",
+               core->leader.own_epoch);
+    }
+  else if (status == 429 || status == 503)
+    core->leader.bumping = false;
+  else
+    /* Unanswered: which of the two epochs holds is unknown, so the way back leads through a
+       reload. */
+    mh_leader_lost (core, "raising the epoch was not answered");
+}
+
+bool
+mh_leader_bump (MhCore *core)
+{
+  if (core->leader.bumping || core->now.mono_us < core->leader.bumped_us + 6 * MH_SECOND_US)
+    return false;
+  core->leader.bumping = true; /* no new write starts */
+  core->leader.bumped_us = core->now.mono_us;
+  return true;
+}
+
+void
+mh_leader_step (MhCore *core)
+{
+  gint64 now = core->now.mono_us;
+  if (core->leader.lost)
+    step_down (core);
+  if (core->leader.phase < MH_PHASE_LOAD)
+    {
+      if (!core->leader.busy && now >= core->leader.retry_us)
+        look (core);
+      mh_core_wake_at (core, MAX (core->leader.retry_us, now + 10000));
+      return;
+    }
+  if (!core->leader.renewing && now >= core->leader.renew_us)
+    {
+      core->leader.renewing = true;
+      mh_core_call (core, MH_RANK_LEASE, mh_wire_extend (core->leader.claim), 0,
+                    MIN (CALL_TIMEOUT_US, core->settings->lease_us / 3), renew_reply,
+                    sent_now (core), g_free);
+    }
+  if (!core->leader.renewing)
+    mh_core_wake_at (core, core->leader.renew_us);
+  if (!mh_leader_valid (core))
+    {
+      /* What cannot be written now is answered now; the user comes again. */
+      refuse_waiters (core);
+      return;
+    }
+  if (core->leader.bumping && mh_store_idle (core) && !core->leader.bump_sent)
+    {
+      core->leader.bump_sent = true;
+      put_leader (core, core->leader.own_epoch + 1, core->leader.own_stamp, 0, false, bump_reply);
+    }
+  if (!core->leader.bumping)
+    core->leader.bump_sent = false;
+  if (core->leader.phase == MH_PHASE_REBUILD && rebuilt (core))
+    {
+      core->leader.phase = MH_PHASE_LEAD;
+      core->place_wanted = true;
+      mh_info (core, "placing: counts rebuilt %.1f s after the election",
+               (double) (now - core->leader.since_us) / MH_SECOND_US);
+    }
+}
+
+void
+mh_leader_start (MhCore *core)
+{
+  core->leader.phase = MH_PHASE_FOLLOW;
+}
--- /dev/null
+++ b/src/record.c
@@ -0,0 +1,142 @@
+/* The stored form of jobs and of leadership. Keys: leader, epoch, j/ID (job and its first tasks),
+   t/ID/CHUNK (further tasks), f/ID (the final state, kept for ever). Short names, since values are
+   limited. */
+#include "core-private.h"
+
+#include <string.h>
+
+char *
+mh_record_key (const char *job, guint chunk)
+{
+  return chunk ? g_strdup_printf ("t/%s/%05u", job, chunk) : g_strconcat ("j/", job, NULL);
+}
+
+MhValue *
+mh_record_write (const MhRecord *r, const char *tag)
+{
+  MhJob *job = r->job;
+  MhValue *m = mh_value_map ();
+  mh_value_set_text (m, "w", tag);
+  if (r->chunk == 0)
+    {
+      mh_value_set (m, "s", mh_wire_write_submission (job->spec));
+      mh_value_set_uint (m, "at", (guint64) MAX (job->submitted_wall_us, 0));
+      if (job->cancelled)
+        mh_value_set_bool (m, "x", true);
+    }
+  MhValue *list = mh_value_list ();
+  guint first = r->chunk * mh_job_chunk ();
+  guint end = MIN (first + mh_job_chunk (), job->spec->tasks);
+  for (guint i = first; i < end; i++)
+    {
+      const MhTask *t = &job->tasks[i];
+      if (t->attempt == 0)
+        continue;
+      MhValue *item = mh_value_list ();
+      mh_value_push (item, mh_value_uint (i));
+      mh_value_push (item, mh_value_uint (t->attempt));
+      /* A pending task that ran before keeps "?": its attempt number must not be used again. */
+      if (t->state == MH_TASK_LIVE)
+        mh_value_push (item, mh_value_text (t->live->machine->name));
+      else if (t->state == MH_TASK_PENDING)
+        mh_value_push (item, mh_value_text ("?"));
+      mh_value_push (list, item);
+    }
+  mh_value_set (m, "t", list);
+  return m;
+}
+
+MhValue *
+mh_record_write_final (const MhJob *job, const char *tag)
+{
+  MhValue *m = mh_value_map ();
+  mh_value_set_text (m, "w", tag);
+  mh_value_set_uint (m, "state", job->cancelled ? MH_JOB_CANCELLED : MH_JOB_DONE);
+  mh_value_set_uint (m, "done", job->n_done);
+  return m;
+}
+
+bool
+mh_record_read_final (const MhValue *v, MhUserAnswer *a)
+{
+  guint64 state, done;
+  if (!mh_value_get_uint (v, "state", &state) || !mh_value_get_uint (v, "done", &done)
+      || (state != MH_JOB_DONE && state != MH_JOB_CANCELLED))
+    return false;
+  *a = (MhUserAnswer) { .status = 200, .state = (MhJobState) state, .done = (guint) done };
+  return true;
+}
+
+char *
+mh_record_read_tag (const MhValue *v)
+{
+  return mh_value_get_text (v, "w");
+}
+
+MhValue *
+mh_record_write_leader (const char *node, guint64 epoch)
+{
+  MhValue *m = mh_value_map ();
+  mh_value_set_text (m, "node", node);
+  mh_value_set_uint (m, "epoch", epoch);
+  return m;
+}
+
+MhValue *
+mh_record_write_epoch (guint64 epoch)
+{
+  MhValue *m = mh_value_map ();
+  mh_value_set_uint (m, "epoch", epoch);
+  return m;
+}
+
+bool
+mh_record_read_epoch (const MhValue *v, guint64 *epoch)
+{
+  return mh_value_get_uint (v, "epoch", epoch);
+}
+
+bool
+mh_record_read_leader (const MhValue *v, char **node, guint64 *epoch)
+{
+  if (!mh_record_read_epoch (v, epoch))
+    return false;
+  *node = mh_value_get_text (v, "node");
+  return *node != NULL;
+}
+
+MhJobSpec *
+mh_record_read_job (const MhValue *v, const char *id, gint64 *submitted_wall_us, bool *cancelled)
+{
+  guint64 at;
+  g_autoptr (MhJobSpec) spec = mh_wire_read_submission (mh_value_get (v, "s"));
+  if (spec == NULL || strcmp (spec->id, id) != 0 || !mh_value_get_uint (v, "at", &at))
+    return NULL;
+  *submitted_wall_us = (gint64) at;
+  *cancelled = false;
+  mh_value_get_bool (v, "x", cancelled);
+  return g_steal_pointer (&spec);
+}
+
+bool
+mh_record_read_tasks (const MhValue *v, MhRecordTaskFunc each, gpointer data)
+{
+  const MhValue *list = mh_value_get (v, "t");
+  if (list == NULL)
+    return false;
+  for (gsize i = 0; i < mh_value_size (list); i++)
+    {
+      const MhValue *item = mh_value_at (list, i);
+      guint64 index, attempt;
+      if (mh_value_size (item) < 2 || !mh_value_as_uint (mh_value_at (item, 0), &index)
+          || !mh_value_as_uint (mh_value_at (item, 1), &attempt) || index >= MH_MAX_TASKS
+          || attempt > G_MAXUINT32)
+        return false;
+      g_autofree char *machine = NULL;
+      if (mh_value_size (item) > 2
+          && (machine = mh_value_as_text (mh_value_at (item, 2))) == NULL)
+        return false;
+      each (data, (guint) index, (guint32) attempt, machine);
+    }
+  return true;
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,276 @@
+#include "settings.h"
+
+#include <confuse.h>
+#include <math.h>
+#include <string.h>
+
+G_DEFINE_QUARK (mh-settings-error-quark, mh_settings_error)
+
+static void
+member_free (gpointer data)
+{
+  MhMember *m = data;
+  g_free (m->name);
+  g_free (m->zone);
+  g_free (m->endpoint);
+  g_free (m);
+}
+
+static void
+team_free (gpointer data)
+{
+  MhTeam *t = data;
+  g_free (t->name);
+  g_free (t);
+}
+
+static void
+objective_free (gpointer data)
+{
+  MhObjective *o = data;
+  g_free (o->class_name);
+  g_free (o);
+}
+
+static void
+spread_rule_free (gpointer data)
+{
+  MhSpreadRule *r = data;
+  g_free (r->class_name);
+  g_free (r);
+}
+
+MhSettings *
+mh_settings_new (void)
+{
+  MhSettings *s = g_new0 (MhSettings, 1);
+  s->members = g_ptr_array_new_with_free_func (member_free);
+  s->teams = g_ptr_array_new_with_free_func (team_free);
+  s->objectives = g_ptr_array_new_with_free_func (objective_free);
+  s->spread = g_ptr_array_new_with_free_func (spread_rule_free);
+  s->lease_us = 2500000;
+  s->idle_us = 25 * MH_SECOND_US;
+  s->batch = G_MAXUINT;
+  s->max_skew = 1;
+  s->direct = true;
+  return s;
+}
+
+void
+mh_settings_free (MhSettings *s)
+{
+  if (s == NULL)
+    return;
+  g_free (s->node);
+  g_free (s->zone);
+  g_free (s->front);
+  g_free (s->peer_bind);
+  g_free (s->cloud);
+  g_free (s->state);
+  g_ptr_array_unref (s->members);
+  g_ptr_array_unref (s->teams);
+  g_ptr_array_unref (s->objectives);
+  g_ptr_array_unref (s->spread);
+  g_free (s);
+}
+
+MhTeam *
+mh_settings_team (const MhSettings *s, const char *name)
+{
+  for (guint i = 0; i < s->teams->len; i++)
+    {
+      MhTeam *t = g_ptr_array_index (s->teams, i);
+      if (strcmp (t->name, name) == 0)
+        return t;
+    }
+  return NULL;
+}
+
+static bool
+fail (GError **error, const char *format, ...) G_GNUC_PRINTF (2, 3);
+
+static bool
+fail (GError **error, const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  g_autofree char *text = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_set_error_literal (error, MH_SETTINGS_ERROR, 0, text);
+  return false;
+}
+
+static bool
+check_address (const char *what, const char *text, GError **error)
+{
+  if (text == NULL || *text == '\0')
+    return fail (error, "%s is missing", what);
+  const char *colon = strrchr (text, ':');
+  guint64 port = 0;
+  if (colon == NULL || !g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, &port, NULL))
+    return fail (error, "%s = \"%s\" is not an address with a port", what, text);
+  return true;
+}
+
+bool
+mh_settings_check (MhSettings *s, GError **error)
+{
+  if (s->node == NULL || *s->node == '\0')
+    return fail (error, "node_name is missing");
+  if (!check_address ("front", s->front, error) || !check_address ("peer_bind", s->peer_bind, error)
+      || !check_address ("endpoints.cloud", s->cloud, error)
+      || !check_address ("endpoints.state", s->state, error))
+    return false;
+  for (guint i = 0; i < s->members->len; i++)
+    {
+      MhMember *m = g_ptr_array_index (s->members, i);
+      if (m->name == NULL || *m->name == '\0')
+        return fail (error, "members[%u].node_name is missing", i);
+      if (!check_address ("members.endpoint", m->endpoint, error))
+        return false;
+    }
+  for (guint i = 0; i < s->teams->len; i++)
+    {
+      MhTeam *t = g_ptr_array_index (s->teams, i);
+      if (t->name == NULL || *t->name == '\0')
+        return fail (error, "settings.teams[%u].name is missing", i);
+      if (!(t->cpus >= 0) || !(t->cpus_max >= 0) || !(t->gpus >= 0) || !(t->gpus_max >= 0))
+        return fail (error, "team %s has a negative amount", t->name);
+    }
+  const struct
+  {
+    const char *name;
+    double value;
+  } positive[] = { { "settings.workers.report_s", s->report_us },
+                   { "settings.workers.lease_s", s->worker_lease_us },
+                   { "settings.workers.cancel_s", s->cancel_us },
+                   { "settings.state.rps", s->state_rps },
+                   { "settings.state.write_rps", s->state_write_rps },
+                   { "settings.state.value_kb", s->value_bytes },
+                   { "settings.state.txn_ops", s->txn_ops },
+                   { "settings.cloud.rps", s->cloud_rps } };
+  for (guint i = 0; i < G_N_ELEMENTS (positive); i++)
+    if (!(positive[i].value > 0) || !isfinite (positive[i].value))
+      return fail (error, "%s is missing or not positive", positive[i].name);
+  /* Two puts in one transaction are the least with which leadership can be taken. */
+  if (s->txn_ops < 2)
+    return fail (error, "settings.state.txn_ops must be at least 2");
+  if (s->lease_us < 500000 || s->lease_us > 60 * MH_SECOND_US)
+    return fail (error, "lease_s must be between 0.5 and 60");
+  if (s->max_skew == 0)
+    return fail (error, "max_skew must be at least 1");
+  s->batch = CLAMP (s->batch, 2, s->txn_ops);
+  if (s->silence_us == 0)
+    s->silence_us = MAX (3 * s->report_us + MH_SECOND_US, s->worker_lease_us / 2);
+  return true;
+}
+
+static char *operator_problem;
+
+static void
+confuse_error (cfg_t *cfg, const char *format, va_list args)
+{
+  /* libConfuse hands its words to a callback without a context; keep the first for the one clear
+     line that the caller prints. */
+  if (operator_problem == NULL)
+    {
+      g_autofree char *text = g_strdup_vprintf (format, args);
+      operator_problem = g_strdup_printf ("line %d: %s", cfg ? cfg->line : 0, text);
+    }
+}
+
+static bool
+read_operator (const char *path, MhSettings *s, GError **error)
+{
+  cfg_opt_t spread_opts[] = { CFG_INT ("max_skew", 0, CFGF_NONE),
+                              CFG_STR ("when_unsatisfiable", NULL, CFGF_NONE), CFG_END () };
+  cfg_opt_t opts[] = { CFG_FLOAT ("lease_s", 0, CFGF_NODEFAULT),
+                       CFG_FLOAT ("silence_s", 0, CFGF_NODEFAULT),
+                       CFG_FLOAT ("idle_s", 0, CFGF_NODEFAULT),
+                       CFG_INT ("batch", 0, CFGF_NODEFAULT),
+                       CFG_INT ("max_skew", 0, CFGF_NODEFAULT),
+                       CFG_STR ("when_unsatisfiable", NULL, CFGF_NODEFAULT),
+                       CFG_BOOL ("direct", cfg_true, CFGF_NODEFAULT),
+                       CFG_SEC ("spread", spread_opts, CFGF_MULTI | CFGF_TITLE), CFG_END () };
+  cfg_t *cfg = cfg_init (opts, CFGF_NONE);
+  cfg_set_error_function (cfg, confuse_error);
+  int rc = cfg_parse (cfg, path);
+  bool ok = rc == CFG_SUCCESS;
+  if (!ok)
+    fail (error, "operator settings %s: %s", path,
+          rc == CFG_FILE_ERROR ? "cannot be read"
+          : operator_problem   ? operator_problem
+                               : "not understood");
+  g_clear_pointer (&operator_problem, g_free);
+
+#define IF_SET(name) if (ok && cfg_size (cfg, name) > 0)
+  IF_SET ("lease_s") s->lease_us = (gint64) (cfg_getfloat (cfg, "lease_s") * MH_SECOND_US);
+  IF_SET ("silence_s") s->silence_us = (gint64) (cfg_getfloat (cfg, "silence_s") * MH_SECOND_US);
+  IF_SET ("idle_s") s->idle_us = (gint64) (cfg_getfloat (cfg, "idle_s") * MH_SECOND_US);
+  IF_SET ("direct") s->direct = cfg_getbool (cfg, "direct");
+  IF_SET ("batch")
+  {
+    if (cfg_getint (cfg, "batch") < 2)
+      ok = fail (error, "batch must be at least 2");
+    else
+      s->batch = (guint) cfg_getint (cfg, "batch");
+  }
+  IF_SET ("max_skew")
+  {
+    if (cfg_getint (cfg, "max_skew") < 1)
+      ok = fail (error, "max_skew must be at least 1");
+    else
+      s->max_skew = (guint) cfg_getint (cfg, "max_skew");
+  }
+#undef IF_SET
+  if (ok && (s->idle_us < 0 || s->silence_us < 0))
+    ok = fail (error, "idle_s and silence_s must not be negative");
+
+  for (int level = -1; ok && level < (int) cfg_size (cfg, "spread"); level++)
+    {
+      cfg_t *sec = level < 0 ? cfg : cfg_getnsec (cfg, "spread", level);
+      const char *when
+          = cfg_size (sec, "when_unsatisfiable") ? cfg_getstr (sec, "when_unsatisfiable") : NULL;
+      if (when && strcmp (when, "DoNotSchedule") != 0 && strcmp (when, "ScheduleAnyway") != 0)
+        {
+          ok = fail (error, "when_unsatisfiable must be DoNotSchedule or ScheduleAnyway");
+          break;
+        }
+      if (level < 0)
+        {
+          if (when)
+            s->soft = strcmp (when, "ScheduleAnyway") == 0;
+          continue;
+        }
+      long skew = cfg_getint (sec, "max_skew");
+      if (skew < 0)
+        {
+          ok = fail (error, "max_skew must be at least 1");
+          break;
+        }
+      MhSpreadRule *rule = g_new0 (MhSpreadRule, 1);
+      rule->class_name = g_strdup (cfg_title (sec));
+      rule->max_skew = skew ? (guint) skew : s->max_skew;
+      rule->soft = when ? strcmp (when, "ScheduleAnyway") == 0 : s->soft;
+      g_ptr_array_add (s->spread, rule);
+    }
+  cfg_free (cfg);
+  return ok;
+}
+
+MhSettings *
+mh_settings_load (const char *path, const char *operator_path, GError **error)
+{
+  g_autoptr (MhSettings) s = mh_settings_new ();
+  g_autofree char *problem = NULL;
+  if (!mh_toml_read (path, s, &problem))
+    {
+      fail (error, "%s: %s", path, problem);
+      return NULL;
+    }
+  if (operator_path && !read_operator (operator_path, s, error))
+    return NULL;
+  if (!mh_settings_check (s, error))
+    return NULL;
+  return g_steal_pointer (&s);
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,74 @@
+/* The platform's settings file (TOML) and the operator's own (HCL-like, read by libConfuse). */
+#pragma once
+
+#include "types.h"
+
+typedef struct
+{
+  char *name, *zone, *endpoint;
+} MhMember;
+
+typedef struct
+{
+  char *name;
+  double cpus, cpus_max, gpus, gpus_max;
+} MhTeam;
+
+typedef enum
+{
+  MH_OBJECTIVE_WAIT,
+  MH_OBJECTIVE_FINISHED,
+  MH_OBJECTIVE_DEADLINE,
+  MH_OBJECTIVE_GUARANTEE
+} MhObjectiveKind;
+
+typedef struct
+{
+  MhObjectiveKind kind;
+  char *class_name;
+  gint64 within_us;
+} MhObjective;
+
+/* How one class of services is spread; the operator may set it. */
+typedef struct
+{
+  char *class_name;
+  guint max_skew;
+  bool soft;
+} MhSpreadRule;
+
+typedef struct
+{
+  /* the platform's */
+  char *node, *zone, *front, *peer_bind, *cloud, *state;
+  GPtrArray *members;    /* MhMember */
+  GPtrArray *teams;      /* MhTeam */
+  GPtrArray *objectives; /* MhObjective */
+  gint64 report_us, worker_lease_us, cancel_us, list_lag_us;
+  double state_rps, state_write_rps, cloud_rps;
+  guint value_bytes, txn_ops, max_connections;
+  /* the operator's */
+  gint64 lease_us;        /* leader's lease in the state service */
+  gint64 silence_us;      /* a machine silent for this long is given back; 0: derived */
+  gint64 idle_us;         /* an idle machine is given back after this long */
+  guint batch;            /* records in a transaction; at most txn_ops */
+  guint max_skew;         /* default of all classes */
+  bool soft;              /* default of all classes: ScheduleAnyway */
+  bool direct;            /* send starts straight to workers */
+  GPtrArray *spread;      /* MhSpreadRule */
+} MhSettings;
+
+MhSettings *mh_settings_load (const char *path, const char *operator_path, GError **error);
+void mh_settings_free (MhSettings *settings);
+G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhSettings, mh_settings_free)
+
+/* Empty settings holding the defaults; the start of every loaded one. */
+MhSettings *mh_settings_new (void);
+bool mh_settings_check (MhSettings *settings, GError **error);
+MhTeam *mh_settings_team (const MhSettings *settings, const char *name);
+
+/* toml-file.cpp: fills the platform's part. */
+bool mh_toml_read (const char *path, MhSettings *settings, char **problem);
+
+#define MH_SETTINGS_ERROR (mh_settings_error_quark ())
+GQuark mh_settings_error_quark (void);
--- /dev/null
+++ b/src/shell.c
@@ -0,0 +1,795 @@
+#include "shell.h"
+
+#include "core.h"
+#include "peer.h"
+
+#include <libsoup/soup.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#define CBOR "application/cbor"
+#define CONNECTIONS_PER_HOST 8
+
+typedef struct Shell Shell;
+typedef struct Peer Peer;
+
+/* A user's or worker's request that waits for the core's answer. */
+typedef struct
+{
+  Shell *shell;
+  guint64 id;
+  SoupServerMessage *message; /* NULL: came from a peer */
+  gulong finished;
+  Peer *peer;
+  guint64 peer_id;
+  MhUserVerb verb; /* 0: a worker */
+  char *job;
+  GBytes *body;
+  guint timeout; /* while forwarded */
+  Peer *forwarded;
+} Request;
+
+/* A connection to or from another controller. */
+struct Peer
+{
+  Shell *shell;
+  char *node; /* NULL: it connected to us */
+  GSocketConnection *connection;
+  GByteArray *in, *out, *writing;
+  guint8 chunk[8192];
+  GCancellable *stop;
+  bool reading, closed;
+};
+
+typedef struct
+{
+  Shell *shell;
+  guint64 id;
+  SoupMessage *message;
+  GCancellable *cancel;
+  guint timeout;
+} Call;
+
+struct Shell
+{
+  const MhSettings *settings;
+  MhCore *core;
+  GRand *random;
+  SoupServer *server;
+  SoupSession *session;
+  GSocketService *peer_service;
+  GSource *timer;
+  GHashTable *requests; /* id -> Request */
+  GHashTable *peers;    /* node -> Peer */
+  guint64 next_id;
+  bool pumping;
+};
+
+static void pump (Shell *shell);
+
+static MhNow
+now (Shell *shell)
+{
+  return (MhNow) { .mono_us = g_get_monotonic_time (),
+                   .wall_us = g_get_real_time (),
+                   .jitter = g_rand_double (shell->random) };
+}
+
+/* ---- requests that wait ---- */
+
+static void
+request_free (gpointer data)
+{
+  Request *r = data;
+  if (r->message)
+    {
+      g_signal_handler_disconnect (r->message, r->finished);
+      g_object_unref (r->message);
+    }
+  if (r->timeout)
+    g_source_remove (r->timeout);
+  g_free (r->job);
+  g_clear_pointer (&r->body, g_bytes_unref);
+  g_free (r);
+}
+
+static Request *
+request_new (Shell *shell)
+{
+  Request *r = g_new0 (Request, 1);
+  r->shell = shell;
+  r->id = ++shell->next_id;
+  g_hash_table_insert (shell->requests, &r->id, r);
+  return r;
+}
+
+static void
+message_finished (SoupServerMessage *message, gpointer data)
+{
+  Request *r = data;
+  (void) message;
+  g_hash_table_remove (r->shell->requests, &r->id);
+}
+
+static void
+respond (SoupServerMessage *m, guint status, MhValue *body)
+{
+  soup_server_message_set_status (m, status, NULL);
+  if (body)
+    {
+      g_autoptr (GBytes) bytes = mh_value_save (body);
+      gsize size;
+      const char *data = g_bytes_get_data (bytes, &size);
+      soup_server_message_set_response (m, CBOR, SOUP_MEMORY_COPY, data, size);
+    }
+}
+
+static void
+respond_user (SoupServerMessage *m, MhUserVerb verb, const char *job, const MhUserAnswer *a)
+{
+  g_autoptr (MhValue) body = NULL;
+  if (a->status == 200 || a->status == 201)
+    body = mh_wire_write_status (job, a, verb == MH_USER_STATUS);
+  else if (a->retry_after_s)
+    {
+      g_autofree char *after = g_strdup_printf ("%u", a->retry_after_s);
+      soup_message_headers_replace (soup_server_message_get_response_headers (m), "Retry-After",
+                                    after);
+    }
+  respond (m, a->status, body);
+}
+
+static Request *
+pause_message (Shell *shell, SoupServerMessage *m)
+{
+  Request *r = request_new (shell);
+  r->message = g_object_ref (m);
+  r->finished = g_signal_connect (m, "finished", G_CALLBACK (message_finished), r);
+  soup_server_message_pause (m);
+  return r;
+}
+
+/* ---- peers ---- */
+
+static void peer_read (Peer *peer);
+static void peer_flush (Peer *peer);
+
+static Peer *
+peer_new (Shell *shell, const char *node)
+{
+  Peer *p = g_new0 (Peer, 1);
+  p->shell = shell;
+  p->node = g_strdup (node);
+  p->in = g_byte_array_new ();
+  p->out = g_byte_array_new ();
+  p->stop = g_cancellable_new ();
+  return p;
+}
+
+/* Frees the peer once nothing asynchronous holds it any more. */
+static void
+peer_settle (Peer *p)
+{
+  if (!p->closed || p->reading || p->writing)
+    return;
+  g_clear_object (&p->connection);
+  g_clear_object (&p->stop);
+  g_byte_array_unref (p->in);
+  g_byte_array_unref (p->out);
+  g_free (p->node);
+  g_free (p);
+}
+
+static void
+forward_failed (Shell *shell, guint64 id)
+{
+  Request *r = g_hash_table_lookup (shell->requests, &id);
+  MhNow t = now (shell);
+  if (r)
+    r->forwarded = NULL;
+  mh_core_forwarded (shell->core, &t, id, NULL);
+  pump (shell);
+}
+
+static void
+peer_close (Peer *p)
+{
+  Shell *shell = p->shell;
+  GHashTableIter it;
+  gpointer value;
+  g_autoptr (GArray) lost = g_array_new (FALSE, FALSE, sizeof (guint64));
+  if (p->closed)
+    return;
+  p->closed = true;
+  g_cancellable_cancel (p->stop);
+  if (p->node && g_hash_table_lookup (shell->peers, p->node) == p)
+    g_hash_table_remove (shell->peers, p->node);
+  g_hash_table_iter_init (&it, shell->requests);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      Request *r = value;
+      if (r->peer == p)
+        r->peer = NULL;
+      if (r->forwarded == p)
+        g_array_append_val (lost, r->id);
+    }
+  for (guint i = 0; i < lost->len; i++)
+    forward_failed (shell, g_array_index (lost, guint64, i));
+  peer_settle (p);
+}
+
+static void
+peer_written (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Peer *p = data;
+  g_clear_pointer (&p->writing, g_byte_array_unref);
+  if (!g_output_stream_write_all_finish (G_OUTPUT_STREAM (source), result, NULL, NULL))
+    {
+      if (p->closed)
+        peer_settle (p);
+      else
+        peer_close (p);
+      return;
+    }
+  if (p->closed)
+    {
+      peer_settle (p);
+      return;
+    }
+  peer_flush (p);
+}
+
+static void
+peer_flush (Peer *p)
+{
+  if (p->connection == NULL || p->writing || p->out->len == 0 || p->closed)
+    return;
+  p->writing = p->out;
+  p->out = g_byte_array_new ();
+  g_output_stream_write_all_async (g_io_stream_get_output_stream (G_IO_STREAM (p->connection)),
+                                   p->writing->data, p->writing->len, G_PRIORITY_DEFAULT, p->stop,
+                                   peer_written, p);
+}
+
+static void
+peer_send (Peer *p, GByteArray *record)
+{
+  if (record == NULL)
+    return;
+  g_byte_array_append (p->out, record->data, record->len);
+  g_byte_array_unref (record);
+  peer_flush (p);
+}
+
+static void
+peer_message (Peer *p, MhPeerMessage *m)
+{
+  Shell *shell = p->shell;
+  MhNow t = now (shell);
+  if (m->kind == MH_PEER_ANSWER)
+    {
+      Request *r = g_hash_table_lookup (shell->requests, &m->id);
+      if (r && r->forwarded == p)
+        {
+          r->forwarded = NULL;
+          mh_core_forwarded (shell->core, &t, r->id, &m->answer);
+        }
+    }
+  else
+    {
+      MhJobSpec *spec = NULL;
+      if (m->verb == MH_USER_SUBMIT)
+        {
+          gsize size;
+          const void *data = g_bytes_get_data (m->body, &size);
+          g_autoptr (MhValue) body = mh_value_load (data, size);
+          spec = mh_wire_read_submission (body);
+          if (spec == NULL || strcmp (spec->id, m->job) != 0)
+            {
+              MhUserAnswer a = { .status = 400 };
+              mh_job_spec_free (spec);
+              peer_send (p, mh_peer_write_answer (m->id, &a));
+              return;
+            }
+        }
+      Request *r = request_new (shell);
+      r->peer = p;
+      r->peer_id = m->id;
+      r->verb = m->verb;
+      r->job = g_strdup (m->job);
+      mh_core_user (shell->core, &t, r->id, m->verb, r->job, spec, true);
+    }
+  pump (shell);
+}
+
+static void
+peer_got (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Peer *p = data;
+  gssize n = g_input_stream_read_finish (G_INPUT_STREAM (source), result, NULL);
+  p->reading = false;
+  if (p->closed)
+    {
+      peer_settle (p);
+      return;
+    }
+  if (n <= 0)
+    {
+      peer_close (p);
+      return;
+    }
+  g_byte_array_append (p->in, p->chunk, (guint) n);
+  p->reading = true; /* keeps the peer while its messages are handled */
+  MhPeerMessage m;
+  MhPeerRead read;
+  while (!p->closed && (read = mh_peer_read (p->in, &m)) == MH_PEER_READ)
+    {
+      peer_message (p, &m);
+      mh_peer_message_clear (&m);
+    }
+  p->reading = false;
+  if (p->closed)
+    peer_settle (p);
+  else if (read == MH_PEER_BAD)
+    {
+      g_info ("peer: malformed message; connection closed");
+      peer_close (p);
+    }
+  else
+    peer_read (p);
+}
+
+static void
+peer_read (Peer *p)
+{
+  p->reading = true;
+  g_input_stream_read_async (g_io_stream_get_input_stream (G_IO_STREAM (p->connection)), p->chunk,
+                             sizeof p->chunk, G_PRIORITY_DEFAULT, p->stop, peer_got, p);
+}
+
+static void
+peer_ready (Peer *p, GSocketConnection *connection)
+{
+  p->connection = connection;
+  g_socket_set_option (g_socket_connection_get_socket (connection), IPPROTO_TCP, TCP_NODELAY, 1,
+                       NULL);
+  peer_read (p);
+  peer_flush (p);
+}
+
+static gboolean
+peer_incoming (GSocketService *service, GSocketConnection *connection, GObject *source,
+               gpointer data)
+{
+  (void) service;
+  (void) source;
+  peer_ready (peer_new (data, NULL), g_object_ref (connection));
+  return TRUE;
+}
+
+static void
+peer_connected (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Peer *p = data;
+  g_autoptr (GError) error = NULL;
+  GSocketConnection *c = g_socket_client_connect_finish (G_SOCKET_CLIENT (source), result, &error);
+  p->reading = false;
+  if (p->closed)
+    {
+      g_clear_object (&c);
+      peer_settle (p);
+    }
+  else if (c == NULL)
+    {
+      g_debug ("peer %s: %s", p->node, error->message);
+      peer_close (p);
+    }
+  else
+    peer_ready (p, c);
+}
+
+static GSocketAddress *
+address_of (const char *text)
+{
+  const char *colon = strrchr (text, ':');
+  g_autofree char *host = g_strndup (text, colon ? (gsize) (colon - text) : strlen (text));
+  return colon ? g_inet_socket_address_new_from_string (host, (guint) atoi (colon + 1)) : NULL;
+}
+
+static Peer *
+peer_to (Shell *shell, const char *node)
+{
+  Peer *p = g_hash_table_lookup (shell->peers, node);
+  if (p)
+    return p;
+  for (guint i = 0; i < shell->settings->members->len; i++)
+    {
+      const MhMember *m = g_ptr_array_index (shell->settings->members, i);
+      g_autoptr (GSocketAddress) address = address_of (m->endpoint);
+      if (strcmp (m->name, node) != 0 || address == NULL)
+        continue;
+      p = peer_new (shell, node);
+      g_hash_table_insert (shell->peers, p->node, p);
+      g_autoptr (GSocketClient) client = g_socket_client_new ();
+      g_socket_client_set_enable_proxy (client, FALSE);
+      p->reading = true;
+      g_socket_client_connect_async (client, G_SOCKET_CONNECTABLE (address), p->stop,
+                                     peer_connected, p);
+      return p;
+    }
+  return NULL;
+}
+
+static gboolean
+forward_timeout (gpointer data)
+{
+  Request *r = data;
+  Shell *shell = r->shell;
+  Peer *p = r->forwarded;
+  r->timeout = 0;
+  forward_failed (shell, r->id);
+  /* A peer that does not answer in time may hang: the next request tries a new connection. */
+  if (p)
+    peer_close (p);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+forward (Shell *shell, const MhAction *a)
+{
+  Request *r = g_hash_table_lookup (shell->requests, &a->id);
+  Peer *p = r ? peer_to (shell, a->text) : NULL;
+  if (p == NULL)
+    {
+      MhNow t = now (shell);
+      mh_core_forwarded (shell->core, &t, a->id, NULL);
+      return;
+    }
+  r->forwarded = p;
+  r->timeout = g_timeout_add ((guint) (a->timeout_us / 1000), forward_timeout, r);
+  peer_send (p, mh_peer_write_call (r->id, r->verb, r->job, r->body));
+}
+
+/* ---- calls ---- */
+
+static gboolean
+call_timeout (gpointer data)
+{
+  Call *call = data;
+  call->timeout = 0;
+  g_cancellable_cancel (call->cancel);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+call_done (GObject *source, GAsyncResult *result, gpointer data)
+{
+  Call *call = data;
+  Shell *shell = call->shell;
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GBytes) bytes
+      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, &error);
+  guint status = bytes ? soup_message_get_status (call->message) : 0;
+  g_autoptr (MhValue) body = NULL;
+  if (bytes && g_bytes_get_size (bytes))
+    {
+      gsize size;
+      const void *raw = g_bytes_get_data (bytes, &size);
+      body = mh_value_load (raw, size);
+      if (body == NULL)
+        {
+          g_info ("malformed reply of %s", soup_message_get_method (call->message));
+          status = 0;
+        }
+    }
+  if (call->timeout)
+    g_source_remove (call->timeout);
+  MhNow t = now (shell);
+  mh_core_reply (shell->core, &t, call->id, status, body);
+  g_object_unref (call->message);
+  g_object_unref (call->cancel);
+  g_free (call);
+  pump (shell);
+}
+
+static void
+send_call (Shell *shell, MhAction *a)
+{
+  const MhRequest *r = a->request;
+  const char *host = r->target == MH_TARGET_STATE   ? shell->settings->state
+                     : r->target == MH_TARGET_CLOUD ? shell->settings->cloud
+                                                    : r->endpoint;
+  g_autofree char *url = g_strconcat ("http://", host, r->path, NULL);
+  Call *call = g_new0 (Call, 1);
+  call->shell = shell;
+  call->id = a->id;
+  call->message = soup_message_new (r->method, url);
+  if (call->message == NULL)
+    {
+      MhNow t = now (shell);
+      g_info ("not an address: %s", url);
+      mh_core_reply (shell->core, &t, a->id, 0, NULL);
+      g_free (call);
+      return;
+    }
+  if (r->body)
+    {
+      g_autoptr (GBytes) bytes = mh_value_save (r->body);
+      soup_message_set_request_body_from_bytes (call->message, CBOR, bytes);
+    }
+  call->cancel = g_cancellable_new ();
+  call->timeout = g_timeout_add ((guint) (a->timeout_us / 1000), call_timeout, call);
+  soup_session_send_and_read_async (shell->session, call->message, G_PRIORITY_DEFAULT, call->cancel,
+                                    call_done, call);
+}
+
+/* ---- the pump ---- */
+
+static void
+answer (Shell *shell, const MhAction *a)
+{
+  Request *r = g_hash_table_lookup (shell->requests, &a->id);
+  if (r == NULL)
+    return; /* who asked is gone */
+  if (r->message == NULL)
+    {
+      if (r->peer)
+        peer_send (r->peer, mh_peer_write_answer (r->peer_id, &a->answer));
+    }
+  else
+    {
+      if (a->kind == MH_ACTION_ANSWER_USER)
+        respond_user (r->message, r->verb, r->job, &a->answer);
+      else
+        respond (r->message, a->status, a->body);
+      soup_server_message_unpause (r->message);
+    }
+  g_hash_table_remove (shell->requests, &a->id);
+}
+
+static void
+pump (Shell *shell)
+{
+  if (shell->pumping)
+    return; /* the outer one goes on */
+  shell->pumping = true;
+  for (MhAction *a; (a = mh_core_pop (shell->core));)
+    {
+      switch (a->kind)
+        {
+        case MH_ACTION_CALL:
+          send_call (shell, a);
+          break;
+        case MH_ACTION_FORWARD:
+          forward (shell, a);
+          break;
+        case MH_ACTION_ANSWER_USER:
+        case MH_ACTION_ANSWER_HELLO:
+          answer (shell, a);
+          break;
+        case MH_ACTION_LOG:
+          g_log_structured ("minthill", a->level, "MESSAGE", "%s", a->text);
+          break;
+        }
+      mh_action_free (a);
+    }
+  shell->pumping = false;
+  g_source_set_ready_time (shell->timer, mh_core_next_wake (shell->core));
+}
+
+static gboolean
+timer_fired (gpointer data)
+{
+  Shell *shell = data;
+  MhNow t = now (shell);
+  mh_core_tick (shell->core, &t);
+  pump (shell);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+timer_dispatch (GSource *source, GSourceFunc func, gpointer data)
+{
+  (void) source;
+  return func (data);
+}
+
+static GSourceFuncs timer_funcs = { .dispatch = timer_dispatch };
+
+/* ---- HTTP ---- */
+
+typedef struct
+{
+  gsize size;
+} Counted;
+
+static void
+got_chunk (SoupServerMessage *m, GBytes *chunk, gpointer data)
+{
+  Counted *c = data;
+  c->size += g_bytes_get_size (chunk);
+  if (c->size > MH_MAX_BODY)
+    soup_message_body_set_accumulate (soup_server_message_get_request_body (m), FALSE);
+}
+
+/* Runs when the headers are there: a body over the limit is never gathered in memory. */
+static void
+early (SoupServer *server, SoupServerMessage *m, const char *path, GHashTable *query, gpointer data)
+{
+  (void) server;
+  (void) path;
+  (void) query;
+  (void) data;
+  Counted *c = g_new0 (Counted, 1);
+  goffset length = soup_message_headers_get_content_length (
+      soup_server_message_get_request_headers (m));
+  if (length > (goffset) MH_MAX_BODY)
+    c->size = (gsize) length;
+  g_object_set_data_full (G_OBJECT (m), "mh-counted", c, g_free);
+  g_signal_connect (m, "got-chunk", G_CALLBACK (got_chunk), c);
+}
+
+static void
+handle_submit (Shell *shell, SoupServerMessage *m, GBytes *bytes, MhValue *body)
+{
+  MhJobSpec *spec = mh_wire_read_submission (body);
+  if (spec == NULL)
+    {
+      respond (m, 400, NULL);
+      return;
+    }
+  Request *r = pause_message (shell, m);
+  r->verb = MH_USER_SUBMIT;
+  r->job = g_strdup (spec->id);
+  r->body = g_bytes_ref (bytes);
+  MhNow t = now (shell);
+  mh_core_user (shell->core, &t, r->id, MH_USER_SUBMIT, r->job, spec, false);
+  pump (shell);
+}
+
+static void
+handle_job (Shell *shell, SoupServerMessage *m, MhUserVerb verb, const char *job)
+{
+  if (!mh_wire_job_id_valid (job))
+    {
+      respond (m, 404, NULL);
+      return;
+    }
+  Request *r = pause_message (shell, m);
+  r->verb = verb;
+  r->job = g_strdup (job);
+  MhNow t = now (shell);
+  mh_core_user (shell->core, &t, r->id, verb, r->job, NULL, false);
+  pump (shell);
+}
+
+static void
+handle_hello (Shell *shell, SoupServerMessage *m, MhValue *body)
+{
+  g_autoptr (MhReport) report = mh_wire_read_report (body);
+  if (report == NULL)
+    {
+      g_info ("malformed report");
+      respond (m, 400, NULL);
+      return;
+    }
+  Request *r = pause_message (shell, m);
+  MhNow t = now (shell);
+  mh_core_hello (shell->core, &t, r->id, report);
+  pump (shell);
+}
+
+static void
+handle (SoupServer *server, SoupServerMessage *m, const char *path, GHashTable *query, gpointer data)
+{
+  Shell *shell = data;
+  const char *method = soup_server_message_get_method (m);
+  (void) server;
+  (void) query;
+  Counted *c = g_object_get_data (G_OBJECT (m), "mh-counted");
+  if (c && c->size > MH_MAX_BODY)
+    {
+      respond (m, 413, NULL);
+      return;
+    }
+  g_auto (GStrv) parts = g_strsplit (path, "/", 5);
+  guint n = g_strv_length (parts);
+  const char *first = n > 1 ? parts[1] : "";
+  const char *want = NULL;
+  enum
+  {
+    NONE,
+    READY,
+    HELLO,
+    SUBMIT,
+    STATUS,
+    WITHDRAW
+  } what
+      = NONE;
+  if (n == 2 && strcmp (first, "ready") == 0)
+    what = READY, want = "GET";
+  else if (n == 2 && strcmp (first, "hello") == 0)
+    what = HELLO, want = "POST";
+  else if (n == 2 && strcmp (first, "submissions") == 0)
+    what = SUBMIT, want = "POST";
+  else if (n == 3 && strcmp (first, "submissions") == 0 && *parts[2])
+    what = STATUS, want = "GET";
+  else if (n == 4 && strcmp (first, "submissions") == 0 && strcmp (parts[3], "withdraw") == 0)
+    what = WITHDRAW, want = "POST";
+  if (what == NONE)
+    {
+      respond (m, 404, NULL);
+      return;
+    }
+  if (strcmp (method, want) != 0)
+    {
+      soup_message_headers_replace (soup_server_message_get_response_headers (m), "Allow", want);
+      respond (m, 405, NULL);
+      return;
+    }
+  if (what == READY)
+    {
+      respond (m, mh_core_ready (shell->core) ? 200 : 503, NULL);
+      return;
+    }
+  if (what == STATUS || what == WITHDRAW)
+    {
+      handle_job (shell, m, what == STATUS ? MH_USER_STATUS : MH_USER_WITHDRAW, parts[2]);
+      return;
+    }
+  g_autoptr (GBytes) bytes
+      = soup_message_body_flatten (soup_server_message_get_request_body (m));
+  gsize size;
+  const void *raw = g_bytes_get_data (bytes, &size);
+  g_autoptr (MhValue) body = mh_value_load (raw, size);
+  if (what == SUBMIT)
+    handle_submit (shell, m, bytes, body);
+  else
+    handle_hello (shell, m, body);
+}
+
+bool
+mh_shell_run (const MhSettings *settings, GError **error)
+{
+  Shell shell = { .settings = settings };
+  shell.random = g_rand_new ();
+  shell.requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, request_free);
+  shell.peers = g_hash_table_new (g_str_hash, g_str_equal);
+
+  shell.server = soup_server_new (NULL, NULL);
+  soup_server_add_early_handler (shell.server, NULL, early, &shell, NULL);
+  soup_server_add_handler (shell.server, NULL, handle, &shell, NULL);
+  g_autoptr (GSocketAddress) front = address_of (settings->front);
+  g_autoptr (GSocketAddress) peer = address_of (settings->peer_bind);
+  if (front == NULL || peer == NULL)
+    {
+      g_set_error_literal (error, MH_SETTINGS_ERROR, 0, "front or peer_bind is not an IP address");
+      return false;
+    }
+  if (!soup_server_listen (shell.server, front, 0, error))
+    return false;
+  shell.peer_service = g_socket_service_new ();
+  if (!g_socket_listener_add_address (G_SOCKET_LISTENER (shell.peer_service), peer,
+                                      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL, NULL,
+                                      error))
+    return false;
+  g_signal_connect (shell.peer_service, "incoming", G_CALLBACK (peer_incoming), &shell);
+
+  shell.session = soup_session_new_with_options (
+      "proxy-resolver", NULL, "max-conns", 256, "max-conns-per-host", CONNECTIONS_PER_HOST,
+      "timeout", 0, "idle-timeout", 30, NULL);
+  soup_session_remove_feature_by_type (shell.session, SOUP_TYPE_CONTENT_DECODER);
+
+  MhNow t = now (&shell);
+  shell.core = mh_core_new (settings, &t);
+  shell.timer = g_source_new (&timer_funcs, sizeof (GSource));
+  g_source_set_callback (shell.timer, timer_fired, &shell, NULL);
+  g_source_set_ready_time (shell.timer, 0);
+  g_source_attach (shell.timer, NULL);
+  g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
+  g_info ("%s: users and workers on %s, controllers on %s", settings->node, settings->front,
+          settings->peer_bind);
+  g_main_loop_run (loop);
+  return true;
+}
--- /dev/null
+++ b/src/spread.c
@@ -0,0 +1,23 @@
+#include "core-private.h"
+
+/* KEP-895, "MaxSkew": matching num - min matching num < maxSkew. An infeasible zone still enters
+   the minimum of the hard rule. */
+bool
+mh_spread_hard_fits (const MhZoneCount *zones, guint n_zones, guint zone, guint max_skew)
+{
+  guint min = zones[zone].count;
+  for (guint i = 0; i < n_zones; i++)
+    min = MIN (min, zones[i].count);
+  return zones[zone].count - min < max_skew;
+}
+
+/* KEP-895, "Priority": the minimum is taken over zones that passed the other filters. */
+gint
+mh_spread_soft_score (const MhZoneCount *zones, guint n_zones, guint zone, guint max_skew)
+{
+  guint min = zones[zone].count;
+  for (guint i = 0; i < n_zones; i++)
+    if (zones[i].feasible)
+      min = MIN (min, zones[i].count);
+  return (gint) (zones[zone].count - min) - (gint) max_skew;
+}
--- /dev/null
+++ b/src/store.c
@@ -0,0 +1,641 @@
+/* Durable records: batched writes, each conditional on the leader's key and on the record's own
+   version; reload by a new leader; reads for users who ask about jobs that are not in memory. */
+#include "core-private.h"
+
+#include <string.h>
+
+#define CALL_TIMEOUT_US (MH_SECOND_US)
+#define TXNS_IN_FLIGHT 3u
+/* Below the 64 KiB that one transaction may have, counted in JSON. */
+#define TXN_BYTES (56u * 1024u)
+#define PAGE 400u
+/* Chunks dropped with a job's final record; the rest is dropped as garbage. */
+#define DROPS_WITH_FINAL 6u
+
+typedef struct
+{
+  MhRecord *record;
+  guint64 rev;
+  bool final, cancelled;
+} Write;
+
+typedef struct
+{
+  GArray *writes; /* Write */
+  MhRequest *request;
+  char *first_key, *tag; /* tells whether an unanswered transaction was carried out */
+  double changes;
+  bool unknown; /* a copy may have been, or may yet be, carried out */
+} Txn;
+
+static void
+txn_clear (gpointer data)
+{
+  Txn *t = data;
+  g_array_unref (t->writes);
+  mh_request_free (t->request);
+  g_free (t->first_key);
+  g_free (t->tag);
+}
+
+static void
+txn_unref (gpointer data)
+{
+  g_rc_box_release_full (data, txn_clear);
+}
+
+/* Every call that is about the transaction holds it. */
+static void
+txn_call (MhCore *core, Txn *t, MhRank rank, MhRequest *request, double writes, MhReplyFunc func)
+{
+  mh_core_call (core, rank, request, writes, CALL_TIMEOUT_US, func, g_rc_box_acquire (t), txn_unref);
+}
+
+void
+mh_store_touch (MhCore *core, MhRecord *r)
+{
+  r->rev = ++core->rev;
+  if (!r->queued)
+    {
+      r->queued = true;
+      g_queue_push_tail (&core->dirty, r);
+    }
+}
+
+bool
+mh_store_idle (const MhCore *core)
+{
+  return core->txns == 0;
+}
+
+void
+mh_store_clear (MhCore *core)
+{
+  g_queue_clear (&core->dirty);
+  g_queue_clear_full (&core->garbage, g_free);
+  core->txns = 0;
+}
+
+/* ---- writing ---- */
+
+static void txn_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
+
+static void
+txn_send (MhCore *core, Txn *t)
+{
+  MhRank rank = MH_RANK_WORK;
+  for (guint i = 0; i < t->writes->len; i++)
+    {
+      MhJob *job = g_array_index (t->writes, Write, i).record->job;
+      if (job->cancelled && !job->cancel_durable)
+        rank = MH_RANK_RULES;
+    }
+  txn_call (core, t, rank, mh_request_copy (t->request), t->changes, txn_reply);
+}
+
+static void
+answer_waiters (MhCore *core, MhJob *job)
+{
+  for (guint i = 0; i < job->waiters->len;)
+    {
+      MhWaiter w = g_array_index (job->waiters, MhWaiter, i);
+      if (w.verb == MH_USER_SUBMIT ? !job->accepted : !(job->cancel_durable || job->final))
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (job->waiters, i);
+      mh_core_answer_job (core, w.id, job, w.verb == MH_USER_SUBMIT ? 201 : 200);
+    }
+}
+
+/* The job is over and its final record is durable: memory keeps only the answer. */
+static void
+job_remove (MhCore *core, MhJob *job, const MhUserAnswer *final)
+{
+  mh_core_final (core, job->spec->id, final);
+  for (guint i = 0; i < job->n_records; i++)
+    if (job->records[i].queued)
+      g_queue_remove (&core->dirty, &job->records[i]);
+  g_hash_table_remove (core->jobs, job->spec->id);
+}
+
+static void
+write_done (MhCore *core, const Write *w, guint64 stamp)
+{
+  MhRecord *r = w->record;
+  MhJob *job = r->job;
+  r->writing = false;
+  r->stamp = stamp;
+  r->durable = w->rev;
+  core->place_wanted = true;
+  if (r->chunk == 0)
+    {
+      job->accepted = true;
+      job->cancel_durable |= w->cancelled;
+      if (w->final)
+        {
+          job->final = true;
+          job->final_state = w->cancelled ? MH_JOB_CANCELLED : MH_JOB_DONE;
+          for (guint i = DROPS_WITH_FINAL + 1; i < job->n_records; i++)
+            if (job->records[i].stamp)
+              g_queue_push_tail (&core->garbage, mh_record_key (job->spec->id, i));
+        }
+      answer_waiters (core, job);
+    }
+  if (job->final)
+    {
+      MhUserAnswer a = { .status = 200 };
+      mh_info (core, "job %s: %s", job->spec->id,
+               job->final_state == MH_JOB_DONE ? "done" : "cancelled and gone");
+      mh_job_answer (job, &a);
+      job_remove (core, job, &a);
+    }
+  else if (r->rev > r->durable && !r->queued)
+    {
+      r->queued = true;
+      g_queue_push_tail (&core->dirty, r);
+    }
+}
+
+static void
+txn_applied (MhCore *core, Txn *t, guint64 stamp)
+{
+  core->txns--;
+  for (guint i = 0; i < t->writes->len; i++)
+    write_done (core, &g_array_index (t->writes, Write, i), stamp);
+}
+
+/* A submission met a job that was over before: the user repeats himself. */
+static void
+known_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  const char *id = data;
+  MhJob *job = g_hash_table_lookup (core->jobs, id);
+  MhUserAnswer a;
+  MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
+  bool ok = e && mh_record_read_final (e->value, &a);
+  mh_entry_free (e);
+  if (job == NULL)
+    return;
+  for (guint i = 0; i < job->waiters->len; i++)
+    {
+      guint64 waiter = g_array_index (job->waiters, MhWaiter, i).id;
+      if (ok)
+        mh_core_act (core, MH_ACTION_ANSWER_USER, waiter)->answer = a;
+      else
+        mh_core_answer (core, waiter, 503, 1);
+    }
+  g_array_set_size (job->waiters, 0);
+  if (ok)
+    job_remove (core, job, &a);
+  else
+    {
+      g_hash_table_remove (core->jobs, id);
+      mh_leader_lost (core, "a record is not what it was written as");
+    }
+}
+
+static void
+txn_refused (MhCore *core, Txn *t, const MhValue *body)
+{
+  g_auto (GStrv) failed = mh_wire_read_failed (body);
+  core->txns--;
+  for (guint i = 0; i < t->writes->len; i++)
+    g_array_index (t->writes, Write, i).record->writing = false;
+  bool explained = false;
+  for (char **key = failed; key && *key; key++)
+    {
+      if (strcmp (*key, "leader") == 0)
+        {
+          mh_leader_lost (core, "another controller leads");
+          return;
+        }
+      const char *id = strchr (*key, '/');
+      MhJob *job = id ? g_hash_table_lookup (core->jobs, id + 1) : NULL;
+      if (job && !job->accepted && !job->records[0].queued)
+        {
+          char *final = g_strconcat ("f/", job->spec->id, NULL);
+          /* Not written again meanwhile; the reply decides. */
+          job->records[0].writing = true;
+          mh_core_call (core, MH_RANK_WORK, mh_wire_get (final), 0, CALL_TIMEOUT_US, known_reply,
+                        g_strdup (job->spec->id), g_free);
+          g_free (final);
+          explained = true;
+        }
+      else if (job == NULL || !job->records[0].writing)
+        {
+          explained = false;
+          break;
+        }
+    }
+  if (!explained)
+    mh_leader_lost (core, "a record was changed by somebody else");
+  for (guint i = 0; i < t->writes->len; i++)
+    {
+      MhRecord *r = g_array_index (t->writes, Write, i).record;
+      if (!r->writing && !r->queued)
+        {
+          r->queued = true;
+          g_queue_push_tail (&core->dirty, r);
+        }
+    }
+}
+
+/* After an unanswered copy, a refusal may mean that the copy was carried out: the tag tells. */
+static void
+recheck_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  Txn *t = data;
+  if (status == 200)
+    {
+      MhEntry *e = mh_wire_read_entry (body);
+      g_autofree char *tag = e ? mh_record_read_tag (e->value) : NULL;
+      guint64 stamp = e ? e->stamp : 0;
+      mh_entry_free (e);
+      if (tag && strcmp (tag, t->tag) == 0)
+        {
+          txn_applied (core, t, stamp);
+          return;
+        }
+    }
+  if (status == 200 || status == 404)
+    {
+      mh_leader_lost (core, "an unanswered write cannot be accounted for");
+      return;
+    }
+  txn_call (core, t, MH_RANK_RULES, mh_wire_get (t->first_key), 0, recheck_reply);
+}
+
+static void
+txn_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  Txn *t = data;
+  guint64 stamp;
+  if (status == 200 && mh_wire_read_ledger (body, &stamp))
+    txn_applied (core, t, stamp);
+  else if (status == 409)
+    {
+      g_auto (GStrv) failed = mh_wire_read_failed (body);
+      bool leader = failed && g_strv_contains ((const char *const *) failed, "leader");
+      if (t->unknown && !leader && t->first_key)
+        txn_call (core, t, MH_RANK_RULES, mh_wire_get (t->first_key), 0, recheck_reply);
+      else
+        txn_refused (core, t, body);
+    }
+  else if (status == 400)
+    {
+      mh_core_log (core, G_LOG_LEVEL_CRITICAL, "the state service calls a transaction malformed");
+      mh_leader_lost (core, "a transaction was refused");
+      core->txns--;
+    }
+  else
+    {
+      /* 429 and 503 say that it was not executed; anything else leaves it open. */
+      if (status != 429 && status != 503)
+        t->unknown = true;
+      core->state_pause_us
+          = core->now.mono_us + 100000 + (gint64) (core->now.jitter * 150000);
+      txn_send (core, t);
+    }
+}
+
+static bool
+writable (const MhRecord *r)
+{
+  if (r->writing)
+    return false;
+  if (!r->job->finished)
+    return true;
+  /* The final record ends all others: it waits until none of them is on its way. */
+  if (r->chunk != 0)
+    return false;
+  for (guint i = 1; i < r->job->n_records; i++)
+    if (r->job->records[i].writing)
+      return false;
+  return true;
+}
+
+static void
+send_batch (MhCore *core)
+{
+  g_autoptr (GArray) conditions = g_array_new (FALSE, FALSE, sizeof (MhCondition));
+  g_autoptr (GArray) changes = g_array_new (FALSE, FALSE, sizeof (MhChange));
+  g_autoptr (GPtrArray) keys = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (GPtrArray) values = g_ptr_array_new_with_free_func ((GDestroyNotify) mh_value_unref);
+  Txn *t = g_rc_box_new0 (Txn);
+  t->writes = g_array_new (FALSE, FALSE, sizeof (Write));
+  t->tag = g_strdup_printf ("%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, core->leader.own_epoch,
+                            ++core->rev);
+  MhCondition lead = { .key = "leader", .stamp = core->leader.own_stamp };
+  g_array_append_val (conditions, lead);
+
+  gsize bytes = 0;
+  guint batch = core->settings->batch;
+  GList *next;
+  for (GList *l = core->dirty.head; l; l = next)
+    {
+      MhRecord *r = l->data;
+      MhJob *job = r->job;
+      next = l->next;
+      if (job->finished && r->chunk != 0)
+        {
+          r->queued = false;
+          g_queue_delete_link (&core->dirty, l);
+          continue;
+        }
+      if (!writable (r))
+        continue;
+      guint drops = job->finished ? MIN (job->n_records - 1, DROPS_WITH_FINAL) : 0;
+      guint need = job->finished ? 2 + drops : 1;
+      if (changes->len > 0 && changes->len + need > batch)
+        break;
+      MhValue *v = job->finished ? mh_record_write_final (job, t->tag) : mh_record_write (r, t->tag);
+      gsize size = mh_value_json_size (v) + 300;
+      if (changes->len > 0 && bytes + size > TXN_BYTES)
+        {
+          mh_value_unref (v);
+          break;
+        }
+      bytes += size;
+      g_ptr_array_add (values, v);
+      char *key = mh_record_key (job->spec->id, r->chunk);
+      char *final = g_strconcat ("f/", job->spec->id, NULL);
+      g_ptr_array_add (keys, key);
+      g_ptr_array_add (keys, final);
+      MhCondition own = { .key = key, .stamp = r->stamp };
+      g_array_append_val (conditions, own);
+      MhChange put = { .key = job->finished ? final : key, .value = v };
+      g_array_append_val (changes, put);
+      if (t->first_key == NULL)
+        t->first_key = g_strdup (put.key);
+      if (job->finished || (r->chunk == 0 && r->stamp == 0))
+        {
+          MhCondition never = { .key = final, .stamp = 0 };
+          g_array_append_val (conditions, never);
+        }
+      if (job->finished && r->stamp)
+        {
+          MhChange drop = { .key = key };
+          g_array_append_val (changes, drop);
+        }
+      for (guint i = 1; i <= drops && changes->len < core->settings->txn_ops; i++)
+        if (job->records[i].stamp)
+          {
+            MhChange drop = { .key = mh_record_key (job->spec->id, i) };
+            g_ptr_array_add (keys, (gpointer) drop.key);
+            g_array_append_val (changes, drop);
+          }
+      Write w = { .record = r, .rev = r->rev, .final = job->finished, .cancelled = job->cancelled };
+      g_array_append_val (t->writes, w);
+      r->writing = true;
+      r->queued = false;
+      g_queue_delete_link (&core->dirty, l);
+      if (changes->len >= batch)
+        break;
+    }
+  while (changes->len < batch && core->garbage.length && t->writes->len == 0)
+    {
+      MhChange drop = { .key = g_queue_pop_head (&core->garbage) };
+      g_ptr_array_add (keys, (gpointer) drop.key);
+      g_array_append_val (changes, drop);
+    }
+  if (changes->len == 0)
+    {
+      txn_unref (t);
+      return;
+    }
+  t->changes = changes->len;
+  t->request = mh_wire_txn ((MhCondition *) conditions->data, conditions->len,
+                            (MhChange *) changes->data, changes->len);
+  core->txns++;
+  txn_send (core, t);
+  txn_unref (t);
+}
+
+void
+mh_store_step (MhCore *core)
+{
+  if (core->leader.bumping)
+    return;
+  while (core->txns < TXNS_IN_FLIGHT && (core->dirty.length || core->garbage.length))
+    {
+      guint before = core->txns;
+      send_batch (core);
+      if (core->txns == before)
+        break;
+    }
+}
+
+/* ---- reload ---- */
+
+typedef struct
+{
+  const char *prefix;
+  char *after;
+} Page;
+
+static void
+page_free (gpointer data)
+{
+  g_free (((Page *) data)->after);
+  g_free (data);
+}
+
+static void
+load_task (gpointer data, guint index, guint32 attempt, const char *machine)
+{
+  gpointer *pair = data;
+  MhCore *core = pair[0];
+  MhJob *job = pair[1];
+  if (index >= job->spec->tasks || job->tasks[index].attempt)
+    return;
+  MhTask *t = &job->tasks[index];
+  t->attempt = attempt;
+  if (machine == NULL)
+    {
+      t->state = MH_TASK_DONE;
+      job->n_done++;
+    }
+  else if (strcmp (machine, "?") != 0)
+    {
+      MhMachine *m = mh_fleet_machine (core, machine);
+      if (m == NULL)
+        m = mh_fleet_add (core, machine, NULL, NULL, false);
+      t->attempt--; /* mh_fleet_attempt_new counts it again */
+      MhAttempt *a = mh_fleet_attempt_new (core, job, index, m);
+      a->loaded = true;
+    }
+}
+
+static void
+load_entry (MhCore *core, const MhEntry *e)
+{
+  MhJob *job;
+  guint chunk = 0;
+  if (g_str_has_prefix (e->key, "j/"))
+    {
+      gint64 at;
+      bool cancelled;
+      MhJobSpec *spec = mh_record_read_job (e->value, e->key + 2, &at, &cancelled);
+      if (spec == NULL)
+        {
+          mh_core_log (core, G_LOG_LEVEL_CRITICAL, "record %s cannot be read", e->key);
+          return;
+        }
+      job = mh_job_new (spec, core->settings, at, &core->now);
+      job->accepted = true;
+      job->cancelled = job->cancel_durable = cancelled;
+      g_hash_table_insert (core->jobs, job->spec->id, job);
+    }
+  else
+    {
+      g_auto (GStrv) parts = g_strsplit (e->key, "/", 3);
+      job = g_strv_length (parts) == 3 ? g_hash_table_lookup (core->jobs, parts[1]) : NULL;
+      guint64 n = job ? g_ascii_strtoull (parts[2], NULL, 10) : 0;
+      if (job == NULL || n == 0 || n >= job->n_records)
+        {
+          g_queue_push_tail (&core->garbage, g_strdup (e->key));
+          return;
+        }
+      chunk = (guint) n;
+    }
+  job->records[chunk].stamp = e->stamp;
+  gpointer pair[] = { core, job };
+  if (!mh_record_read_tasks (e->value, load_task, pair))
+    mh_core_log (core, G_LOG_LEVEL_CRITICAL, "record %s cannot be read", e->key);
+}
+
+static void load_page (MhCore *core, const char *prefix, char *after);
+
+static void
+load_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  Page *page = data;
+  bool more;
+  guint64 ledger;
+  g_autoptr (GPtrArray) entries
+      = status == 200 ? mh_wire_read_entries (body, &more, &ledger) : NULL;
+  if (entries == NULL)
+    {
+      core->state_pause_us = core->now.mono_us + 50000 + (gint64) (core->now.jitter * 50000);
+      load_page (core, page->prefix, g_strdup (page->after));
+      return;
+    }
+  for (guint i = 0; i < entries->len; i++)
+    load_entry (core, g_ptr_array_index (entries, i));
+  if (more && entries->len)
+    {
+      MhEntry *last = g_ptr_array_index (entries, entries->len - 1);
+      load_page (core, page->prefix, g_strdup (last->key));
+    }
+  else if (strcmp (page->prefix, "j/") == 0)
+    load_page (core, "t/", NULL);
+  else
+    mh_leader_loaded (core, true);
+}
+
+static void
+load_page (MhCore *core, const char *prefix, char *after)
+{
+  Page *page = g_new0 (Page, 1);
+  page->prefix = prefix;
+  page->after = after;
+  mh_core_call (core, MH_RANK_RULES, mh_wire_list (prefix, after, PAGE), 0, 2 * CALL_TIMEOUT_US,
+                load_reply, page, page_free);
+}
+
+void
+mh_store_load (MhCore *core)
+{
+  load_page (core, "j/", NULL);
+}
+
+/* ---- reads for users ---- */
+
+typedef struct
+{
+  guint64 id;
+  char *job;
+  MhUserVerb verb;
+  bool final;  /* reading the final record */
+  bool leader; /* asked while in charge */
+} Lookup;
+
+static void
+lookup_free (gpointer data)
+{
+  g_free (((Lookup *) data)->job);
+  g_free (data);
+}
+
+static void lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
+
+static void
+lookup_send (MhCore *core, guint64 id, const char *job, MhUserVerb verb, bool final, bool leader)
+{
+  Lookup *l = g_new0 (Lookup, 1);
+  l->id = id;
+  l->job = g_strdup (job);
+  l->verb = verb;
+  l->final = final;
+  l->leader = leader;
+  g_autofree char *key = g_strconcat (final ? "f/" : "j/", job, NULL);
+  mh_core_call (core, verb == MH_USER_WITHDRAW ? MH_RANK_RULES : MH_RANK_STRANGER,
+                mh_wire_get (key), 0, CALL_TIMEOUT_US, lookup_reply, l, lookup_free);
+}
+
+/* Without a usable leader: an unfinished job is known by its record, which says what its user may
+   have been told. The running record is read first, since a job moves from there to the final one
+   and never back. */
+static void
+answer_from_record (MhCore *core, const Lookup *l, const MhEntry *e)
+{
+  gint64 at;
+  bool cancelled;
+  g_autoptr (MhJobSpec) spec = mh_record_read_job (e->value, l->job, &at, &cancelled);
+  if (spec == NULL)
+    {
+      mh_core_answer (core, l->id, 503, 1);
+      return;
+    }
+  MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_USER, l->id);
+  a->answer = (MhUserAnswer) { .status = 200,
+                               .state = cancelled ? MH_JOB_CANCELLED : MH_JOB_PENDING };
+}
+
+static void
+lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  Lookup *l = data;
+  MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
+  MhUserAnswer final;
+  if (e && l->final && mh_record_read_final (e->value, &final))
+    {
+      mh_core_final (core, l->job, &final);
+      mh_core_act (core, MH_ACTION_ANSWER_USER, l->id)->answer = final;
+    }
+  else if (e && !l->final)
+    answer_from_record (core, l, e);
+  else if (status == 404 && !l->final)
+    lookup_send (core, l->id, l->job, l->verb, true, false);
+  /* A leader's "never heard of it" rests on memory too: it must still have been in charge. */
+  else if (status == 404 && (!l->leader || mh_leader_valid (core)))
+    mh_core_answer (core, l->id, l->verb == MH_USER_SUBMIT ? 422 : 404, 0);
+  else
+    mh_core_answer (core, l->id, 503, 1);
+  mh_entry_free (e);
+}
+
+void
+mh_store_lookup (MhCore *core, guint64 id, const char *job, MhUserVerb verb)
+{
+  const MhUserAnswer *final = g_hash_table_lookup (core->finals, job);
+  if (final)
+    {
+      mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
+      return;
+    }
+  bool leader = core->leader.phase >= MH_PHASE_REBUILD;
+  lookup_send (core, id, job, verb, leader, leader);
+}
