--- a/src/core-private.h
+++ b/src/core-private.h
@@ -254,12 +254,12 @@
   MH_PHASE_FOLLOW,
   MH_PHASE_CAMPAIGN,
   MH_PHASE_LOAD,
-  MH_PHASE_REBUILD, /* answers users and workers, places nothing yet */
   MH_PHASE_LEAD
 } MhPhase;
 
 void mh_leader_start (MhCore *core);
 void mh_leader_step (MhCore *core);
+void mh_leader_news (MhCore *core, const char *node, guint64 epoch);
 void mh_leader_loaded (MhCore *core, bool ok);
 void mh_leader_lost (MhCore *core, const char *why);
 bool mh_leader_valid (const MhCore *core); /* may order and answer from memory */
@@ -321,7 +321,9 @@
     bool bumping, bump_sent;
     const char *lost; /* why, until the next step */
     gint64 bumped_us;
+    bool rebuilt; /* every machine that should has reported, or has had the time */
     gint64 rebuild_until_us;
+    gint64 told_us;
   } leader;
 
   /* leader's memory */
--- a/src/core.c
+++ b/src/core.c
@@ -283,7 +283,7 @@
               MhJobSpec *spec, bool forwarded)
 {
   core->now = *now;
-  bool in_charge = core->leader.phase >= MH_PHASE_REBUILD && mh_leader_valid (core);
+  bool in_charge = core->leader.phase == MH_PHASE_LEAD && mh_leader_valid (core);
   if (!in_charge)
     {
       mh_job_spec_free (spec);
@@ -358,6 +358,14 @@
   mh_core_step (core);
 }
 
+void
+mh_core_news (MhCore *core, const MhNow *now, const char *node, guint64 epoch)
+{
+  core->now = *now;
+  mh_leader_news (core, node, epoch);
+  mh_core_step (core);
+}
+
 /* ---- life ---- */
 
 bool
@@ -373,11 +381,10 @@
 {
   core->wake_us = core->now.mono_us + MH_SECOND_US / 2;
   mh_leader_step (core);
-  if (core->leader.phase >= MH_PHASE_REBUILD && mh_leader_valid (core))
+  if (core->leader.phase == MH_PHASE_LEAD && mh_leader_valid (core))
     {
       mh_fleet_step (core);
-      if (core->leader.phase == MH_PHASE_LEAD)
-        mh_place_step (core);
+      mh_place_step (core);
       mh_scale_step (core);
       mh_store_step (core);
     }
--- a/src/core.h
+++ b/src/core.h
@@ -17,6 +17,7 @@
 typedef enum
 {
   MH_ACTION_CALL,        /* make a request; its end comes back through mh_core_reply */
+  MH_ACTION_TELL,        /* tell another controller that this one leads, with epoch `id` */
   MH_ACTION_FORWARD,     /* hand a user's request to another controller */
   MH_ACTION_ANSWER_USER, /* answer a user's request */
   MH_ACTION_ANSWER_HELLO,
@@ -32,7 +33,7 @@
   MhUserAnswer answer;
   guint status;   /* ANSWER_HELLO */
   MhValue *body;  /* ANSWER_HELLO */
-  char *text;     /* FORWARD: the node; LOG: the line */
+  char *text;     /* FORWARD, TELL: the node; LOG: the line */
   GLogLevelFlags level;
 } MhAction;
 
@@ -52,6 +53,8 @@
 void mh_core_reply (MhCore *core, const MhNow *now, guint64 id, guint status, const MhValue *body);
 /* The other controller's answer; NULL when none came in time. */
 void mh_core_forwarded (MhCore *core, const MhNow *now, guint64 id, const MhUserAnswer *answer);
+/* Another controller says that it leads. */
+void mh_core_news (MhCore *core, const MhNow *now, const char *node, guint64 epoch);
 
 MhAction *mh_core_pop (MhCore *core);
 gint64 mh_core_next_wake (const MhCore *core); /* steady time of the next tick that is needed */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -692,16 +692,20 @@
 
 /* ---- hello ---- */
 
-/* A leader that cannot renew its lease may keep workers' tasks alive, without ordering anything,
-   for so long that a task cancelled by a successor is still gone in time: the worker's own lease
+/* For how long a leader that cannot renew its lease may keep workers' tasks alive, without ordering
+   anything: a task cancelled by a successor must still be gone in time, and the worker's own lease
    ends at the latest lease_s after the last answer. */
+static gint64
+keep_alive_us (const MhCore *core)
+{
+  return core->settings->cancel_us - core->settings->worker_lease_us - 4 * MH_SECOND_US;
+}
+
 static bool
 may_keep_alive (const MhCore *core)
 {
-  const MhSettings *s = core->settings;
-  gint64 spare = s->cancel_us - s->worker_lease_us - 4 * MH_SECOND_US;
-  return core->leader.phase >= MH_PHASE_REBUILD && !core->leader.lost
-         && core->now.mono_us < core->leader.confirmed_us + spare;
+  return core->leader.phase == MH_PHASE_LEAD && !core->leader.lost
+         && core->now.mono_us < core->leader.confirmed_us + keep_alive_us (core);
 }
 
 static void
@@ -728,7 +732,7 @@
       return;
     }
   g_autoptr (GArray) orders = mh_orders_new ();
-  if (core->leader.phase >= MH_PHASE_REBUILD)
+  if (core->leader.phase == MH_PHASE_LEAD)
     {
       MhMachine *m = mh_fleet_machine (core, r->machine);
       if (m && m->gone)
@@ -756,17 +760,23 @@
 
 /* ---- time ---- */
 
+/* How long a machine may be silent before it is given back. Only its release proves soon that its
+   tasks are gone. */
+typedef struct
+{
+  gint64 known_us;  /* one that has reported to this leader */
+  gint64 unseen_us; /* one that has not, since the election */
+} Patience;
+
 static void
-check_silence (MhCore *core, MhMachine *m, gint64 patience_us)
+check_silence (MhCore *core, MhMachine *m, const Patience *patience)
 {
   gint64 now = core->now.mono_us;
-  if (m->reported || m->attempts->len)
+  if (m->reported || m->attempts->len || m->running)
     {
-      /* A new leader's workers need time to find it. */
-      gint64 heard = MAX (m->heard_us, core->leader.since_us
-                                           + (m->reported ? 0 : 6 * MH_SECOND_US));
-      if (now - heard > patience_us)
-        mh_scale_release (core, m, "silent");
+      if (m->reported ? now - m->heard_us > patience->known_us
+                      : now - MAX (core->leader.since_us, m->known_us) > patience->unseen_us)
+        mh_scale_release (core, m, m->reported ? "silent" : "silent since the change of leader");
       return;
     }
   gint64 boot = m->type ? m->type->boot_us : 60 * MH_SECOND_US;
@@ -775,25 +785,35 @@
     mh_scale_release (core, m, "never came up");
 }
 
-static gint64
+static Patience
 patience (MhCore *core)
 {
-  guint silent = 0, all = 0;
+  guint silent = 0, unseen = 0, all = 0;
+  gint64 usual = core->settings->silence_us;
+  /* A new leader's workers need time to find it. */
+  Patience p = { .known_us = usual, .unseen_us = usual + 6 * MH_SECOND_US };
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       MhMachine *m = value;
-      if (m->gone || m->releasing || !m->reported)
+      if (m->gone || m->releasing || !(m->reported || m->attempts->len))
         continue;
       all++;
-      silent += mh_fleet_silent (core, m, core->settings->silence_us);
+      if (m->reported)
+        silent += mh_fleet_silent (core, m, usual);
+      else
+        unseen++;
     }
-  /* When most are silent at once it is rather this side that is cut off. */
+  /* When most are silent at once it is rather this side that is cut off; and a former leader that
+     is cut off from the state service alone may hold all workers for a while. Without this, a new
+     leader once gave back a whole fleet of working machines. */
   if (silent >= 3 && silent * 2 > all)
-    return core->settings->worker_lease_us + 5 * MH_SECOND_US;
-  return core->settings->silence_us;
+    p.known_us = core->settings->worker_lease_us + 5 * MH_SECOND_US;
+  if (unseen >= 3 && unseen * 2 > all)
+    p.unseen_us = MAX (p.unseen_us, keep_alive_us (core) + 10 * MH_SECOND_US);
+  return p;
 }
 
 static void
@@ -820,7 +840,7 @@
   GHashTableIter it;
   gpointer value;
   gint64 now = core->now.mono_us;
-  gint64 limit = patience (core);
+  const Patience limit = patience (core);
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
@@ -833,7 +853,7 @@
         }
       if (m->releasing)
         continue;
-      check_silence (core, m, limit);
+      check_silence (core, m, &limit);
       if (m->notice_until_us >= 0)
         drain_by_notice (core, m);
       send_direct (core, m);
--- a/src/leader.c
+++ b/src/leader.c
@@ -9,6 +9,9 @@
    decision made just before the end still leaves the process. */
 #define DRIFT 0.001
 #define MARGIN_US 100000
+/* How often the leader tells the others that it leads: a node that cannot reach the state service
+   has no other way to know. */
+#define TELL_US (MH_SECOND_US)
 #define WATCH_US (5 * MH_SECOND_US)
 
 bool
@@ -374,7 +377,9 @@
       mh_leader_lost (core, "the records cannot be read");
       return;
     }
-  core->leader.phase = MH_PHASE_REBUILD;
+  core->leader.phase = MH_PHASE_LEAD;
+  core->leader.rebuilt = false;
+  core->place_wanted = true;
   /* Workers of a dead leader wait out a response (4 s) and then try its neighbours. */
   core->leader.rebuild_until_us
       = core->now.mono_us + 2 * core->settings->report_us + 2 * MH_SECOND_US;
@@ -426,6 +431,31 @@
     mh_leader_lost (core, "raising the epoch was not answered");
 }
 
+/* A node that is cut off from the state service learns here who leads: it passes users and workers
+   on, and a former leader stops keeping the workers to itself. */
+void
+mh_leader_news (MhCore *core, const char *node, guint64 epoch)
+{
+  /* The end of a leadership is told by the state service; late news of it must not undo that. */
+  if (epoch < core->leader.epoch || (epoch == core->leader.epoch && core->leader.node == NULL)
+      || strcmp (node, core->settings->node) == 0)
+    return;
+  if (core->leader.phase >= MH_PHASE_LOAD)
+    {
+      if (epoch <= core->leader.own_epoch)
+        return;
+      mh_leader_lost (core, "another controller says that it leads");
+    }
+  if (g_strcmp0 (core->leader.node, node) != 0)
+    {
+      g_free (core->leader.node);
+      core->leader.node = g_strdup (node);
+      mh_info (core, "leader: %s, epoch %" G_GUINT64_FORMAT ", by its own word", node, epoch);
+    }
+  core->leader.epoch = epoch;
+  core->leader.usable_us = core->now.mono_us;
+}
+
 bool
 mh_leader_bump (MhCore *core)
 {
@@ -471,11 +501,20 @@
     }
   if (!core->leader.bumping)
     core->leader.bump_sent = false;
-  if (core->leader.phase == MH_PHASE_REBUILD && rebuilt (core))
+  if (now >= core->leader.told_us + TELL_US)
+    {
+      core->leader.told_us = now;
+      for (guint i = 0; i < core->settings->members->len; i++)
+        {
+          MhAction *a = mh_core_act (core, MH_ACTION_TELL, core->leader.own_epoch);
+          a->text = g_strdup (((MhMember *) g_ptr_array_index (core->settings->members, i))->name);
+        }
+    }
+  if (core->leader.phase == MH_PHASE_LEAD && !core->leader.rebuilt && rebuilt (core))
     {
-      core->leader.phase = MH_PHASE_LEAD;
+      core->leader.rebuilt = true;
       core->place_wanted = true;
-      mh_info (core, "placing: counts rebuilt %.1f s after the election",
+      mh_info (core, "counts rebuilt %.1f s after the election",
                (double) (now - core->leader.since_us) / MH_SECOND_US);
     }
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -60,6 +60,14 @@
   return write_record (&m);
 }
 
+GByteArray *
+mh_peer_write_news (const char *node, guint64 epoch)
+{
+  peer_message m = { .kind = PEER_NEWS };
+  m.peer_message_u.news = (peer_news) { .node = (char *) node, .epoch = epoch };
+  return write_record (&m);
+}
+
 static bool
 take (const peer_message *x, MhPeerMessage *m)
 {
@@ -77,6 +85,13 @@
       m->body = g_bytes_new (call->body.body_val, call->body.body_len);
       return true;
     }
+  if (x->kind == PEER_NEWS)
+    {
+      m->kind = MH_PEER_NEWS;
+      m->id = x->peer_message_u.news.epoch;
+      m->job = g_strdup (x->peer_message_u.news.node);
+      return *m->job != '\0';
+    }
   const peer_answer *a = &x->peer_message_u.answer;
   if (x->kind != PEER_ANSWER || a->state > MH_JOB_CANCELLED || a->status < 200 || a->status > 599)
     return false;
--- a/src/peer.h
+++ b/src/peer.h
@@ -6,15 +6,16 @@
 typedef enum
 {
   MH_PEER_CALL,
-  MH_PEER_ANSWER
+  MH_PEER_ANSWER,
+  MH_PEER_NEWS
 } MhPeerKind;
 
 typedef struct
 {
   MhPeerKind kind;
-  guint64 id;
+  guint64 id; /* NEWS: the epoch */
   MhUserVerb verb; /* CALL */
-  char *job;       /* CALL */
+  char *job;       /* CALL; NEWS: the node that leads */
   GBytes *body;    /* CALL */
   MhUserAnswer answer;
 } MhPeerMessage;
@@ -24,6 +25,7 @@
 /* Each returns a whole record, its length first. */
 GByteArray *mh_peer_write_call (guint64 id, MhUserVerb verb, const char *job, GBytes *body);
 GByteArray *mh_peer_write_answer (guint64 id, const MhUserAnswer *answer);
+GByteArray *mh_peer_write_news (const char *node, guint64 epoch);
 
 typedef enum
 {
--- a/src/peer_xdr.x
+++ b/src/peer_xdr.x
@@ -26,9 +26,16 @@
   unsigned int running;
 };
 
+/* Who leads, as the leader itself says: a hint, never a proof. */
+struct peer_news {
+  string node<PEER_NAME_MAX>;
+  unsigned hyper epoch;
+};
+
 enum peer_kind {
   PEER_CALL = 1,
-  PEER_ANSWER = 2
+  PEER_ANSWER = 2,
+  PEER_NEWS = 3
 };
 
 union peer_message switch (peer_kind kind) {
@@ -36,4 +43,6 @@
   peer_call call;
 case PEER_ANSWER:
   peer_answer answer;
+case PEER_NEWS:
+  peer_news news;
 };
--- a/src/place.c
+++ b/src/place.c
@@ -475,6 +475,19 @@
   return true;
 }
 
+/* The counts of a job are rebuilt when every machine on record for it has reported. Since a start
+   is on record before it is ordered, a job without one has no task anywhere. */
+static bool
+counts_known (const MhCore *core, const MhJob *job)
+{
+  if (core->leader.rebuilt || job->n_live == 0)
+    return true;
+  for (guint i = 0; i < job->spec->tasks; i++)
+    if (job->tasks[i].live && !job->tasks[i].live->machine->reported)
+      return false;
+  return true;
+}
+
 static void
 place_job (MhCore *core, MhJob *job, guint *starts, guint *preemptions)
 {
@@ -491,6 +504,8 @@
       mh_core_wake_at (core, job->retry_us);
       return;
     }
+  if (!counts_known (core, job))
+    return;
   prepare (&p);
   count_zones (&p);
   rank (&p);
@@ -507,7 +522,8 @@
       if (p.spread && p.soft)
         rank (&p);
     }
-  if (tier (job) == 3 && s->priority <= MH_PRIORITY_LOW)
+  /* Machines that have not reported yet may have room. */
+  if (!core->leader.rebuilt || (tier (job) == 3 && s->priority <= MH_PRIORITY_LOW))
     return;
   double cpus = 0;
   for (guint n = mh_job_pending (job); n > 0 && *preemptions < PREEMPTIONS_PER_PASS; n--)
--- a/src/scale.c
+++ b/src/scale.c
@@ -441,8 +441,7 @@
 static bool
 may_rent (const MhCore *core)
 {
-  return core->leader.phase == MH_PHASE_LEAD && core->types && core->scale.listed
-         && !core->scale.renting
+  return core->leader.rebuilt && core->types && core->scale.listed && !core->scale.renting
          && (core->leader.load_epoch == 1
              || core->now.mono_us - core->leader.since_us > core->settings->list_lag_us);
 }
@@ -463,8 +462,6 @@
   if (now < core->scale.step_us)
     return;
   core->scale.step_us = now + STEP_US;
-  if (core->leader.phase != MH_PHASE_LEAD)
-    return;
   if (may_rent (core))
     {
       g_autoptr (GArray) virtuals = g_array_new (FALSE, FALSE, sizeof (Virtual));
--- a/src/shell.c
+++ b/src/shell.c
@@ -276,6 +276,8 @@
           mh_core_forwarded (shell->core, &t, r->id, &m->answer);
         }
     }
+  else if (m->kind == MH_PEER_NEWS)
+    mh_core_news (shell->core, &t, m->job, m->id);
   else
     {
       MhJobSpec *spec = NULL;
@@ -451,6 +453,15 @@
   peer_send (p, mh_peer_write_call (r->id, r->verb, r->job, r->body));
 }
 
+static void
+tell (Shell *shell, const MhAction *a)
+{
+  Peer *p = peer_to (shell, a->text);
+  /* What a slow or absent controller has not taken yet need not be said twice. */
+  if (p && p->out->len == 0)
+    peer_send (p, mh_peer_write_news (shell->settings->node, a->id));
+}
+
 /* ---- calls ---- */
 
 static gboolean
@@ -564,6 +575,9 @@
         case MH_ACTION_FORWARD:
           forward (shell, a);
           break;
+        case MH_ACTION_TELL:
+          tell (shell, a);
+          break;
         case MH_ACTION_ANSWER_USER:
         case MH_ACTION_ANSWER_HELLO:
           answer (shell, a);
--- a/src/store.c
+++ b/src/store.c
@@ -636,6 +636,6 @@
       mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
       return;
     }
-  bool leader = core->leader.phase >= MH_PHASE_REBUILD;
+  bool leader = core->leader.phase == MH_PHASE_LEAD;
   lookup_send (core, id, job, verb, leader, leader);
 }
