--- a/src/core-private.h
+++ b/src/core-private.h
@@ -237,6 +237,13 @@
 GPtrArray *mh_place_queue (MhCore *core); /* jobs with pending tasks, in order; container owned */
 void mh_place_spread_rule (const MhCore *core, const MhJobSpec *spec, guint *max_skew, bool *soft);
 
+/* Hopelessly late jobs count as due this much later. */
+#define MH_HOPELESS_US (3600 * MH_SECOND_US)
+/* Owners' estimates are often wrong, and on some days all in one direction: what the tasks of a
+   class took, as a multiple of what was said. */
+double mh_place_bias (MhCore *core, const char *class_name);
+void mh_place_learn (MhCore *core, const MhJobSpec *spec, gint64 ran_us);
+
 void mh_scale_start (MhCore *core);
 void mh_scale_step (MhCore *core);
 void mh_scale_clear (MhCore *core);
@@ -288,6 +295,12 @@
   double cpus, gpus; /* what may be in use */
 } MhUse;
 
+typedef struct
+{
+  double ratio;
+  guint n;
+} MhClassStat;
+
 struct MhCore
 {
   const MhSettings *settings;
@@ -337,13 +350,14 @@
   GHashTable *machines; /* name -> MhMachine */
   GPtrArray *types;     /* MhMachineType; NULL until known */
   GHashTable *team_use; /* team -> MhUse */
+  GHashTable *class_stats; /* class -> MhClassStat */
   bool place_wanted;
   gint64 placed_us;
   GHashTable *forwards; /* id -> MhUserVerb as pointer */
 
   struct
   {
-    gint64 types_us, list_us, step_us, release_us;
+    gint64 types_us, list_us, step_us, tell_us;
     bool types_busy, list_busy, renting, listed;
     guint64 rentals;
     GHashTable *refused; /* type/zone/kind -> gint64 until */
--- a/src/core.c
+++ b/src/core.c
@@ -411,6 +411,7 @@
   core->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mh_fleet_free_machine);
   core->team_use = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  core->class_stats = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->scale.refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&core->actions);
   /* The other controllers read and watch a little too. */
@@ -440,6 +441,7 @@
   g_hash_table_unref (core->jobs);
   g_hash_table_unref (core->finals);
   g_hash_table_unref (core->team_use);
+  g_hash_table_unref (core->class_stats);
   g_hash_table_unref (core->scale.refused);
   g_free (core->leader.node);
   g_free (core);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -397,6 +397,8 @@
   switch (cause)
     {
     case MH_CAUSE_DONE:
+      if (a->running_us && !a->loaded)
+        mh_place_learn (core, job->spec, core->now.mono_us - a->running_us);
       job->errors = 0;
       m->errors = 0;
       g_clear_pointer (&m->error_job, g_free);
--- a/src/place.c
+++ b/src/place.c
@@ -88,6 +88,29 @@
   return by_submission (a, b);
 }
 
+double
+mh_place_bias (MhCore *core, const char *class_name)
+{
+  const MhClassStat *stat = g_hash_table_lookup (core->class_stats, class_name);
+  return stat && stat->n >= 3 ? CLAMP (stat->ratio, 0.25, 4) : 1;
+}
+
+void
+mh_place_learn (MhCore *core, const MhJobSpec *s, gint64 ran_us)
+{
+  if (s->estimate_us < MH_SECOND_US)
+    return;
+  MhClassStat *stat = g_hash_table_lookup (core->class_stats, s->class_name);
+  if (stat == NULL)
+    {
+      stat = g_new0 (MhClassStat, 1);
+      g_hash_table_insert (core->class_stats, g_strdup (s->class_name), stat);
+    }
+  stat->n++;
+  double weight = MAX (1.0 / stat->n, 0.02);
+  stat->ratio += weight * ((double) ran_us / (double) s->estimate_us - stat->ratio);
+}
+
 /* When the job should be over, by its deadline or its class's aim. One that is hopelessly late goes
    behind those that can still make it. */
 static double
@@ -107,7 +130,7 @@
   if (at == G_MAXINT64)
     at = job->submitted_us + 600 * MH_SECOND_US;
   if (at < now)
-    at += 3600 * MH_SECOND_US;
+    at += MH_HOPELESS_US;
   return (double) at;
 }
 
@@ -212,8 +235,15 @@
          && s->mem_gb <= m->type->mem_gb - m->used_mem - m->promised_mem + EPSILON;
 }
 
-/* The documented order: the soft score; machines that have the image; for work that may be
-   interrupted the cheap machines; the fullest, so that others fall empty; the name. */
+/* The documented order: the soft score; machines that have the image; spot machines (only work that
+   may be interrupted comes to them); the cheapest by the cpu; the fullest, so that others fall
+   empty; the name. */
+static double
+unit_price (const MhMachine *m)
+{
+  return (m->spot ? m->type->spot_price : m->type->price) / MAX (m->type->cpus, 1e-3);
+}
+
 static gint
 by_walk (gconstpointer a, gconstpointer b)
 {
@@ -224,6 +254,9 @@
     return x->cached ? -1 : 1;
   if (x->machine->spot != y->machine->spot)
     return x->machine->spot ? -1 : 1;
+  double px = unit_price (x->machine), py = unit_price (y->machine);
+  if (px != py)
+    return px < py ? -1 : 1;
   double fx = free_cpus (x->machine), fy = free_cpus (y->machine);
   if (fx != fy)
     return fx < fy ? -1 : 1;
@@ -366,8 +399,10 @@
   const MhJob *holds = a->job;
   if (holds == wants || a->kill)
     return false;
-  /* Taking from within another's guarantee would only move the complaint. */
-  if (holds->guaranteed && !(wants->guaranteed && holds->spec->priority < wants->spec->priority))
+  /* Only from those that stand further back in the queue: else the two stop each other in turn, as
+     urgent work beyond its guarantee and normal work within one once did for a thousand times. */
+  if (tier (wants) > tier (holds)
+      || (tier (wants) == tier (holds) && wants->spec->priority <= holds->spec->priority))
     return false;
   if (holds->spec->priority < wants->spec->priority)
     return true;
--- a/src/scale.c
+++ b/src/scale.c
@@ -10,6 +10,7 @@
 #define REFUSED_US (15 * MH_SECOND_US)
 /* A machine that is deleted costs at least this. */
 #define LEAST_PAID_US (60 * MH_SECOND_US)
+#define TELL_US (10 * MH_SECOND_US)
 #define RENT_MOST 50u
 #define RELEASE_MOST 100u
 #define TASKS_LOOKED_AT 600u
@@ -369,10 +370,97 @@
     }
 }
 
-/* What waits is laid out on the machines that are coming; where they do not do, more are wanted. */
+/* Room that running tasks are expected to leave. */
+typedef struct
+{
+  gint64 at_us;
+  double cpus, mem;
+} Ending;
+
+static gint
+by_end (gconstpointer a, gconstpointer b)
+{
+  gint64 x = ((const Ending *) a)->at_us, y = ((const Ending *) b)->at_us;
+  return x < y ? -1 : x > y;
+}
+
+static GArray *
+expected_endings (MhCore *core)
+{
+  GArray *endings = g_array_new (FALSE, FALSE, sizeof (Ending));
+  gint64 now = core->now.mono_us;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const MhMachine *m = value;
+      if (m->gone || m->releasing || !m->reported || m->notice_until_us >= 0)
+        continue;
+      for (guint i = 0; i < m->attempts->len; i++)
+        {
+          const MhAttempt *a = g_ptr_array_index (m->attempts, i);
+          const MhJobSpec *s = a->job->spec;
+          if (s->shape == MH_SHAPE_SERVICE)
+            continue;
+          gint64 whole = (gint64) ((double) s->estimate_us * mh_place_bias (core, s->class_name));
+          gint64 left = whole - (a->running_us ? now - a->running_us : 0);
+          /* One that has outrun its estimate goes on for a part of it. */
+          Ending e = { .at_us = now + MAX (left, whole / 4), .cpus = s->cpus, .mem = s->mem_gb };
+          g_array_append_val (endings, e);
+        }
+    }
+  g_array_sort (endings, by_end);
+  return endings;
+}
+
+/* Whether a task may wait for room that running tasks leave: a machine rented now would not be there
+   sooner, or the task would still end in time. Takes the room if so. */
+static bool
+may_wait (MhCore *core, const MhJob *job, GArray *endings, guint *next, double *cpus)
+{
+  const MhJobSpec *s = job->spec;
+  gint64 now = core->now.mono_us;
+  if (s->shape == MH_SHAPE_SERVICE)
+    return false;
+  gint64 soonest = G_MAXINT64;
+  for (guint i = 0; i < core->types->len; i++)
+    {
+      const MhMachineType *t = g_ptr_array_index (core->types, i);
+      if (mh_place_type_fits (s, t))
+        soonest = MIN (soonest, t->boot_us);
+    }
+  gint64 run = (gint64) ((double) s->estimate_us * mh_place_bias (core, s->class_name));
+  gint64 due = (gint64) job->sort_key;
+  gint64 latest = due > now + MH_HOPELESS_US / 2 ? now : due - run - run / 2;
+  latest = MAX (latest, now + soonest);
+  while (*cpus < s->cpus && *next < endings->len
+         && g_array_index (endings, Ending, *next).at_us <= latest)
+    {
+      Ending *e = &g_array_index (endings, Ending, *next);
+      *cpus += e->cpus;
+      (*next)++;
+      /* The task that takes the room leaves it again. */
+      Ending again = { .at_us = e->at_us + run, .cpus = s->cpus };
+      guint at = *next;
+      while (at < endings->len && g_array_index (endings, Ending, at).at_us < again.at_us)
+        at++;
+      g_array_insert_val (endings, at, again);
+    }
+  if (*cpus < s->cpus)
+    return false;
+  *cpus -= s->cpus;
+  return true;
+}
+
+/* What waits is laid out on the machines that are coming and on the room that running tasks leave;
+   where they do not do, more are wanted. */
 static void
 plan (MhCore *core, GArray *virtuals)
 {
+  g_autoptr (GArray) endings = expected_endings (core);
+  guint next_ending = 0;
+  double ended_cpus = 0;
   g_autoptr (GPtrArray) queue = mh_place_queue (core);
   g_autoptr (GHashTable) asked = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   guint looked_at = 0;
@@ -394,6 +482,12 @@
           for (guint j = 0; j < virtuals->len && v == NULL; j++)
             if (virtual_fits (&g_array_index (virtuals, Virtual, j), job))
               v = &g_array_index (virtuals, Virtual, j);
+          if (v == NULL && may_wait (core, job, endings, &next_ending, &ended_cpus))
+            {
+              use->cpus += s->cpus;
+              use->gpus += s->gpus;
+              continue;
+            }
           if (v == NULL)
             {
               Virtual fresh;
@@ -446,10 +540,49 @@
              || core->now.mono_us - core->leader.since_us > core->settings->list_lag_us);
 }
 
+/* One line for the operator: what is paid for and what it does. */
+static void
+tell_fleet (MhCore *core)
+{
+  guint live = 0, coming = 0, idle = 0, leaving = 0, waiting = 0;
+  double all = 0, used = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const MhMachine *m = value;
+      if (m->gone)
+        continue;
+      leaving += m->releasing;
+      live += m->reported && !m->releasing;
+      coming += !m->reported && !m->releasing;
+      idle += m->reported && !m->releasing && m->attempts->len == 0;
+      if (m->type && m->reported && !m->releasing)
+        {
+          all += m->type->cpus;
+          used += m->used_cpus;
+        }
+    }
+  g_hash_table_iter_init (&it, core->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (!mh_job_over (value))
+      waiting += mh_job_pending (value);
+  mh_info (core,
+           "fleet: %u machines (%u idle), %u coming, %u leaving; %.0f of %.0f cpus in use; %u tasks "
+           "waiting",
+           live, idle, coming, leaving, used, all, waiting);
+}
+
 void
 mh_scale_step (MhCore *core)
 {
   gint64 now = core->now.mono_us;
+  if (now >= core->scale.tell_us)
+    {
+      core->scale.tell_us = now + TELL_US;
+      tell_fleet (core);
+    }
   if (!core->scale.types_busy && now >= core->scale.types_us)
     {
       core->scale.types_busy = true;
