--- a/src/core-private.h
+++ b/src/core-private.h
@@ -16,9 +16,12 @@
   gint64 at_us;
 } MhBucket;
 
-void mh_bucket_init (MhBucket *bucket, double rate, double burst, gint64 now_us);
-bool mh_bucket_has (MhBucket *bucket, double tokens, gint64 now_us);
-void mh_bucket_take (MhBucket *bucket, double tokens);
+void
+mh_bucket_init (MhBucket *bucket, double rate, double burst, gint64 now_us);
+bool
+mh_bucket_has (MhBucket *bucket, double tokens, gint64 now_us);
+void
+mh_bucket_take (MhBucket *bucket, double tokens);
 
 typedef enum
 {
@@ -73,7 +76,7 @@
   MhRecord *records;
   guint n_records;
   guint n_done, n_live, n_running;
-  guint cursor; /* no pending task below it */
+  guint cursor;        /* no pending task below it */
   bool accepted;       /* its first record is durable */
   bool cancelled;      /* the user asked */
   bool cancel_durable; /* and may be told so */
@@ -83,39 +86,56 @@
   GArray *waiters; /* MhWaiter */
   /* placement */
   bool guaranteed;
-  guint errors;             /* failures in a row, on different machines */
-  gint64 retry_us;          /* no start before */
-  gint64 wanted_us;         /* pending and unplaced since; 0: not */
+  guint errors;     /* failures in a row, on different machines */
+  gint64 retry_us;  /* no start before */
+  gint64 wanted_us; /* pending and unplaced since; 0: not */
   double sort_key;
   gint64 final_us;
 };
 
-MhJob *mh_job_new (MhJobSpec *spec, const MhSettings *settings, gint64 submitted_wall_us,
-                   const MhNow *now);
-void mh_job_free (MhJob *job);
-MhRecord *mh_job_record (MhJob *job, guint index); /* that holds task `index` */
-guint mh_job_pending (const MhJob *job);
-bool mh_job_over (const MhJob *job); /* takes no more starts */
-void mh_job_answer (const MhJob *job, MhUserAnswer *answer);
-guint mh_job_chunk (void); /* tasks in one record */
+MhJob *
+mh_job_new (MhJobSpec *spec, gint64 submitted_wall_us, const MhNow *now);
+void
+mh_job_free (MhJob *job);
+MhRecord *
+mh_job_record (MhJob *job, guint index); /* that holds task `index` */
+guint
+mh_job_pending (const MhJob *job);
+bool
+mh_job_over (const MhJob *job); /* takes no more starts */
+void
+mh_job_answer (const MhJob *job, MhUserAnswer *answer);
+guint
+mh_job_chunk (void); /* tasks in one record */
 
 /* ---- record: the stored form ---- */
 
-char *mh_record_key (const char *job, guint chunk);
-MhValue *mh_record_write (const MhRecord *record, const char *tag);
-MhValue *mh_record_write_final (const MhJob *job, const char *tag);
-MhValue *mh_record_write_leader (const char *node, guint64 epoch);
-MhValue *mh_record_write_epoch (guint64 epoch);
-bool mh_record_read_leader (const MhValue *value, char **node, guint64 *epoch);
-bool mh_record_read_epoch (const MhValue *value, guint64 *epoch);
-bool mh_record_read_final (const MhValue *value, MhUserAnswer *answer);
-char *mh_record_read_tag (const MhValue *value);
+char *
+mh_record_key (const char *job, guint chunk);
+MhValue *
+mh_record_write (const MhRecord *record, const char *tag);
+MhValue *
+mh_record_write_final (const MhJob *job, const char *tag);
+MhValue *
+mh_record_write_leader (const char *node, guint64 epoch);
+MhValue *
+mh_record_write_epoch (guint64 epoch);
+bool
+mh_record_read_leader (const MhValue *value, char **node, guint64 *epoch);
+bool
+mh_record_read_epoch (const MhValue *value, guint64 *epoch);
+bool
+mh_record_read_final (const MhValue *value, MhUserAnswer *answer);
+char *
+mh_record_read_tag (const MhValue *value);
 /* Reads the job's own part of chunk 0. */
-MhJobSpec *mh_record_read_job (const MhValue *value, const char *id, gint64 *submitted_wall_us,
-                               bool *cancelled);
+MhJobSpec *
+mh_record_read_job (const MhValue *value, const char *id, gint64 *submitted_wall_us,
+                    bool *cancelled);
 typedef void (*MhRecordTaskFunc) (gpointer data, guint index, guint32 attempt,
                                   const char *machine /* NULL: done */);
-bool mh_record_read_tasks (const MhValue *value, MhRecordTaskFunc each, gpointer data);
+bool
+mh_record_read_tasks (const MhValue *value, MhRecordTaskFunc each, gpointer data);
 
 /* ---- fleet ---- */
 
@@ -130,12 +150,12 @@
   bool ordered;        /* a start may have left this process */
   guint64 order_epoch; /* highest epoch under which it was ordered */
   guint64 order_tenure;
-  guint64 hello_tick;  /* report whose response last carried the start; 0: none */
-  bool seen;           /* reported on the machine */
-  bool present;        /* in the report at hand */
-  bool kill;           /* is to be stopped */
+  guint64 hello_tick; /* report whose response last carried the start; 0: none */
+  bool seen;          /* reported on the machine */
+  bool present;       /* in the report at hand */
+  bool kill;          /* is to be stopped */
   gint64 grace_us;
-  gint64 killed_us;    /* when last told directly */
+  gint64 killed_us; /* when last told directly */
   MhTaskPhase phase;
   gint64 placed_us, running_us;
 };
@@ -171,11 +191,11 @@
   char *name, *endpoint, *zone, *type_name;
   const MhMachineType *type;
   bool spot;
-  bool reported;   /* to this leader */
-  bool releasing;  /* decided; holds until it is confirmed */
+  bool reported;  /* to this leader */
+  bool releasing; /* decided; holds until it is confirmed */
   bool release_sent;
   bool gone;       /* confirmed released */
-  bool running; /* listed as such */
+  bool running;    /* listed as such */
   const char *why; /* of the release */
   gint64 known_us, rented_us, heard_us, idle_us;
   gint64 notice_until_us; /* -1: no notice */
@@ -190,29 +210,44 @@
   gint64 quarantine_us;
   double used_cpus, used_gpus, used_mem;
   double promised_cpus, promised_mem; /* to tasks that wait for preempted ones, in this pass */
-  gint64 hold_us; /* no start before: it refused one */
+  gint64 hold_us;                     /* no start before: it refused one */
   guint64 cache_clock;
   gint64 gone_us;
 };
 
-MhMachine *mh_fleet_machine (MhCore *core, const char *name);
-MhMachine *mh_fleet_add (MhCore *core, const char *name, const char *type, const char *zone,
-                         bool spot);
-void mh_fleet_types_changed (MhCore *core);
-bool mh_fleet_silent (const MhCore *core, const MhMachine *machine, gint64 for_us);
-bool mh_fleet_cached (const MhMachine *machine, const char *image);
-void mh_fleet_clear (MhCore *core);
-void mh_fleet_loaded (MhCore *core);
-void mh_fleet_kill_job (MhCore *core, MhJob *job);
-void mh_fleet_hello (MhCore *core, guint64 id, const MhReport *report);
-void mh_fleet_step (MhCore *core);
-void mh_fleet_gone (MhCore *core, MhMachine *machine); /* confirmed released */
-MhAttempt *mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, MhMachine *machine);
-void mh_fleet_kill (MhCore *core, MhAttempt *attempt, gint64 grace_us);
+MhMachine *
+mh_fleet_machine (MhCore *core, const char *name);
+MhMachine *
+mh_fleet_add (MhCore *core, const char *name, const char *type, const char *zone, bool spot);
+void
+mh_fleet_types_changed (MhCore *core);
+bool
+mh_fleet_silent (const MhCore *core, const MhMachine *machine, gint64 for_us);
+bool
+mh_fleet_cached (const MhMachine *machine, const char *image);
+void
+mh_fleet_clear (MhCore *core);
+void
+mh_fleet_loaded (MhCore *core);
+void
+mh_fleet_kill_job (MhCore *core, MhJob *job);
+void
+mh_fleet_hello (MhCore *core, guint64 id, const MhReport *report);
+void
+mh_fleet_step (MhCore *core);
+void
+mh_fleet_gone (MhCore *core, MhMachine *machine); /* confirmed released */
+MhAttempt *
+mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, MhMachine *machine);
+void
+mh_fleet_kill (MhCore *core, MhAttempt *attempt, gint64 grace_us);
 /* The attempt can no longer run: room, quota and task are free again. */
-void mh_fleet_attempt_over (MhCore *core, MhAttempt *attempt, bool done);
-void mh_fleet_cache (MhMachine *machine, const char *image, double gb);
-void mh_fleet_free_machine (gpointer machine);
+void
+mh_fleet_attempt_over (MhCore *core, MhAttempt *attempt, bool done);
+void
+mh_fleet_cache (MhMachine *machine, const char *image, double gb);
+void
+mh_fleet_free_machine (gpointer machine);
 
 /* ---- spread: the arithmetic of KEP-895 and nothing else ---- */
 
@@ -223,38 +258,62 @@
   bool feasible; /* some machine there could take the task */
 } MhZoneCount;
 
-bool mh_spread_hard_fits (const MhZoneCount *zones, guint n_zones, guint zone, guint max_skew);
+bool
+mh_spread_hard_fits (const MhZoneCount *zones, guint n_zones, guint zone, guint max_skew);
 /* Lowest ranks first. */
-gint mh_spread_soft_score (const MhZoneCount *zones, guint n_zones, guint zone, guint max_skew);
+gint
+mh_spread_soft_score (const MhZoneCount *zones, guint n_zones, guint zone, guint max_skew);
 
 /* ---- place, scale, store, leader ---- */
 
-void mh_place_step (MhCore *core);
-bool mh_place_type_fits (const MhJobSpec *spec, const MhMachineType *type);
-bool mh_place_kind_fits (const MhJob *job, const MhMachineType *type, const char *zone, bool spot);
+void
+mh_place_step (MhCore *core);
+bool
+mh_place_type_fits (const MhJobSpec *spec, const MhMachineType *type);
+bool
+mh_place_kind_fits (const MhJob *job, const MhMachineType *type, const char *zone, bool spot);
 /* Could the team run `more` of the job's tasks besides what may be running now? */
-bool mh_place_quota_fits (MhCore *core, const MhJob *job, double more_cpus, double more_gpus);
-GPtrArray *mh_place_queue (MhCore *core); /* jobs with pending tasks, in order; container owned */
-void mh_place_spread_rule (const MhCore *core, const MhJobSpec *spec, guint *max_skew, bool *soft);
+bool
+mh_place_quota_fits (MhCore *core, const MhJob *job, double more_cpus, double more_gpus);
+GPtrArray *
+mh_place_queue (MhCore *core); /* jobs with pending tasks, in order; container owned */
+void
+mh_place_spread_rule (const MhCore *core, const MhJobSpec *spec, guint *max_skew, bool *soft);
 
 /* Hopelessly late jobs count as due this much later. */
 #define MH_HOPELESS_US (3600 * MH_SECOND_US)
 /* Owners' estimates are often wrong, and on some days all in one direction: what the tasks of a
    class took, as a multiple of what was said. */
-double mh_place_bias (MhCore *core, const char *class_name);
-void mh_place_learn (MhCore *core, const MhJobSpec *spec, gint64 ran_us);
-
-void mh_scale_start (MhCore *core);
-void mh_scale_step (MhCore *core);
-void mh_scale_clear (MhCore *core);
-void mh_scale_release (MhCore *core, MhMachine *machine, const char *why);
-
-void mh_store_touch (MhCore *core, MhRecord *record);
-void mh_store_step (MhCore *core);
-void mh_store_load (MhCore *core); /* ends in mh_leader_loaded */
-void mh_store_clear (MhCore *core);
-bool mh_store_idle (const MhCore *core);
-void mh_store_lookup (MhCore *core, guint64 request_id, const char *job, MhUserVerb verb);
+double
+mh_place_bias (MhCore *core, const char *class_name);
+void
+mh_place_learn (MhCore *core, const MhJobSpec *spec, gint64 ran_us);
+
+void
+mh_scale_start (MhCore *core);
+void
+mh_scale_step (MhCore *core);
+void
+mh_scale_clear (MhCore *core);
+void
+mh_scale_release (MhCore *core, MhMachine *machine, const char *why);
+
+void
+mh_store_touch (MhCore *core, MhRecord *record);
+void
+mh_store_step (MhCore *core);
+void
+mh_store_load (MhCore *core); /* ends in mh_leader_loaded */
+void
+mh_store_clear (MhCore *core);
+bool
+mh_store_idle (const MhCore *core);
+/* `in_charge`: a leader with a valid lease has looked in memory, and only the final record is left
+   to read. A leader whose lease had lapsed once said "never heard of it" of unfinished jobs,
+   because the phase alone was asked. */
+void
+mh_store_lookup (MhCore *core, guint64 request_id, const char *job, MhUserVerb verb,
+                 bool in_charge);
 
 typedef enum
 {
@@ -264,13 +323,20 @@
   MH_PHASE_LEAD
 } MhPhase;
 
-void mh_leader_start (MhCore *core);
-void mh_leader_step (MhCore *core);
-void mh_leader_news (MhCore *core, const char *node, guint64 epoch);
-void mh_leader_loaded (MhCore *core, bool ok);
-void mh_leader_lost (MhCore *core, const char *why);
-bool mh_leader_valid (const MhCore *core); /* may order and answer from memory */
-bool mh_leader_bump (MhCore *core);        /* raises the epoch to fence what is in flight */
+void
+mh_leader_start (MhCore *core);
+void
+mh_leader_step (MhCore *core);
+void
+mh_leader_news (MhCore *core, const char *node, guint64 epoch);
+void
+mh_leader_loaded (MhCore *core, bool ok);
+void
+mh_leader_lost (MhCore *core, const char *why);
+bool
+mh_leader_valid (const MhCore *core); /* may order and answer from memory */
+bool
+mh_leader_bump (MhCore *core); /* raises the epoch to fence what is in flight */
 
 /* ---- core ---- */
 
@@ -317,7 +383,7 @@
   struct
   {
     MhPhase phase;
-    char *node; /* who leads, as far as known */
+    char *node;    /* who leads, as far as known */
     guint64 epoch; /* that node's */
     guint64 key_stamp;
     guint64 own_epoch; /* while leading */
@@ -329,8 +395,8 @@
     gint64 renew_us;
     bool renewing, busy;
     gint64 retry_us;
-    gint64 since_us;   /* leading since */
-    gint64 usable_us;  /* when a usable leader was last known */
+    gint64 since_us;  /* leading since */
+    gint64 usable_us; /* when a usable leader was last known */
     bool bumping, bump_sent;
     const char *lost; /* why, until the next step */
     gint64 bumped_us;
@@ -343,13 +409,13 @@
   GHashTable *jobs;   /* id -> MhJob */
   GHashTable *finals; /* id -> MhUserAnswer, a bounded cache */
   GQueue finals_order;
-  GQueue dirty;       /* MhRecord */
-  GQueue garbage;     /* keys to drop */
-  guint txns;         /* in flight */
+  GQueue dirty;   /* MhRecord */
+  GQueue garbage; /* keys to drop */
+  guint txns;     /* in flight */
   guint64 rev;
-  GHashTable *machines; /* name -> MhMachine */
-  GPtrArray *types;     /* MhMachineType; NULL until known */
-  GHashTable *team_use; /* team -> MhUse */
+  GHashTable *machines;    /* name -> MhMachine */
+  GPtrArray *types;        /* MhMachineType; NULL until known */
+  GHashTable *team_use;    /* team -> MhUse */
   GHashTable *class_stats; /* class -> MhClassStat */
   bool place_wanted;
   gint64 placed_us;
@@ -364,17 +430,26 @@
   } scale;
 };
 
-void mh_core_step (MhCore *core);
-MhAction *mh_core_act (MhCore *core, MhActionKind kind, guint64 id);
+void
+mh_core_step (MhCore *core);
+MhAction *
+mh_core_act (MhCore *core, MhActionKind kind, guint64 id);
 /* Queues a call on its bucket; the request is taken over. */
-void mh_core_call (MhCore *core, MhRank rank, MhRequest *request, double writes, gint64 timeout_us,
-                   MhReplyFunc func, gpointer data, GDestroyNotify free);
+void
+mh_core_call (MhCore *core, MhRank rank, MhRequest *request, double writes, gint64 timeout_us,
+              MhReplyFunc func, gpointer data, GDestroyNotify free);
 /* Forgets all calls; replies that still come are ignored. */
-void mh_core_drop_calls (MhCore *core);
-void mh_core_answer (MhCore *core, guint64 id, guint status, guint retry_after_s);
-void mh_core_answer_job (MhCore *core, guint64 id, const MhJob *job, guint status);
-void mh_core_wake_at (MhCore *core, gint64 at_us);
-void mh_core_log (MhCore *core, GLogLevelFlags level, const char *format, ...) G_GNUC_PRINTF (3, 4);
-void mh_core_final (MhCore *core, const char *id, const MhUserAnswer *answer);
+void
+mh_core_drop_calls (MhCore *core);
+void
+mh_core_answer (MhCore *core, guint64 id, guint status, guint retry_after_s);
+void
+mh_core_answer_job (MhCore *core, guint64 id, const MhJob *job, guint status);
+void
+mh_core_wake_at (MhCore *core, gint64 at_us);
+void
+mh_core_log (MhCore *core, GLogLevelFlags level, const char *format, ...) G_GNUC_PRINTF (3, 4);
+void
+mh_core_final (MhCore *core, const char *id, const MhUserAnswer *answer);
 #define mh_info(core, ...) mh_core_log (core, G_LOG_LEVEL_INFO, __VA_ARGS__)
 #define mh_debug(core, ...) mh_core_log (core, G_LOG_LEVEL_DEBUG, __VA_ARGS__)
--- a/src/core.c
+++ b/src/core.c
@@ -239,7 +239,7 @@
       if (status == 422)
         {
           /* An accepted job is never refused later, whatever the settings have become. */
-          mh_store_lookup (core, id, spec->id, MH_USER_SUBMIT);
+          mh_store_lookup (core, id, spec->id, MH_USER_SUBMIT, true);
           mh_job_spec_free (spec);
           return;
         }
@@ -249,7 +249,7 @@
           mh_job_spec_free (spec);
           return;
         }
-      job = mh_job_new (spec, core->settings, core->now.wall_us, &core->now);
+      job = mh_job_new (spec, core->now.wall_us, &core->now);
       g_hash_table_insert (core->jobs, job->spec->id, job);
       mh_store_touch (core, &job->records[0]);
     }
@@ -297,7 +297,7 @@
           g_hash_table_insert (core->forwards, g_memdup2 (&id, sizeof id), g_strdup (job_id));
         }
       else if (!forwarded && verb == MH_USER_STATUS)
-        mh_store_lookup (core, id, job_id, verb);
+        mh_store_lookup (core, id, job_id, verb, false);
       else
         mh_core_answer (core, id, 503, 1);
       mh_core_step (core);
@@ -317,7 +317,7 @@
   else if (final)
     mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
   else
-    mh_store_lookup (core, id, job_id, verb);
+    mh_store_lookup (core, id, job_id, verb, true);
   mh_core_step (core);
 }
 
@@ -376,6 +376,12 @@
          && core->now.mono_us - core->leader.usable_us < 10 * MH_SECOND_US;
 }
 
+bool
+mh_core_leads (const MhCore *core)
+{
+  return mh_leader_valid (core);
+}
+
 void
 mh_core_step (MhCore *core)
 {
@@ -407,7 +413,7 @@
   core->now = *now;
   core->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, call_free);
   core->forwards = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  core->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) mh_job_free);
+  core->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)mh_job_free);
   core->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mh_fleet_free_machine);
   core->team_use = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
@@ -432,7 +438,7 @@
   mh_fleet_clear (core);
   mh_scale_clear (core);
   mh_core_drop_calls (core);
-  g_queue_clear_full (&core->actions, (GDestroyNotify) mh_action_free);
+  g_queue_clear_full (&core->actions, (GDestroyNotify)mh_action_free);
   g_queue_clear_full (&core->finals_order, g_free);
   g_clear_pointer (&core->types, g_ptr_array_unref);
   g_hash_table_unref (core->calls);
--- a/src/core.h
+++ b/src/core.h
@@ -31,31 +31,45 @@
   gint64 timeout_us;  /* CALL, FORWARD */
   MhRequest *request; /* CALL */
   MhUserAnswer answer;
-  guint status;   /* ANSWER_HELLO */
-  MhValue *body;  /* ANSWER_HELLO */
-  char *text;     /* FORWARD, TELL: the node; LOG: the line */
+  guint status;  /* ANSWER_HELLO */
+  MhValue *body; /* ANSWER_HELLO */
+  char *text;    /* FORWARD, TELL: the node; LOG: the line */
   GLogLevelFlags level;
 } MhAction;
 
-void mh_action_free (MhAction *action);
+void
+mh_action_free (MhAction *action);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhAction, mh_action_free)
 
-MhCore *mh_core_new (const MhSettings *settings, const MhNow *now);
-void mh_core_free (MhCore *core);
+MhCore *
+mh_core_new (const MhSettings *settings, const MhNow *now);
+void
+mh_core_free (MhCore *core);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhCore, mh_core_free)
 
 /* Inputs. Bodies and reports are borrowed; a spec is taken over. */
-void mh_core_tick (MhCore *core, const MhNow *now);
-void mh_core_user (MhCore *core, const MhNow *now, guint64 id, MhUserVerb verb, const char *job,
-                   MhJobSpec *spec, bool forwarded);
-void mh_core_hello (MhCore *core, const MhNow *now, guint64 id, const MhReport *report);
+void
+mh_core_tick (MhCore *core, const MhNow *now);
+void
+mh_core_user (MhCore *core, const MhNow *now, guint64 id, MhUserVerb verb, const char *job,
+              MhJobSpec *spec, bool forwarded);
+void
+mh_core_hello (MhCore *core, const MhNow *now, guint64 id, const MhReport *report);
 /* status 0: no answer, so that whether the request was carried out is unknown. */
-void mh_core_reply (MhCore *core, const MhNow *now, guint64 id, guint status, const MhValue *body);
+void
+mh_core_reply (MhCore *core, const MhNow *now, guint64 id, guint status, const MhValue *body);
 /* The other controller's answer; NULL when none came in time. */
-void mh_core_forwarded (MhCore *core, const MhNow *now, guint64 id, const MhUserAnswer *answer);
+void
+mh_core_forwarded (MhCore *core, const MhNow *now, guint64 id, const MhUserAnswer *answer);
 /* Another controller says that it leads. */
-void mh_core_news (MhCore *core, const MhNow *now, const char *node, guint64 epoch);
+void
+mh_core_news (MhCore *core, const MhNow *now, const char *node, guint64 epoch);
 
-MhAction *mh_core_pop (MhCore *core);
-gint64 mh_core_next_wake (const MhCore *core); /* steady time of the next tick that is needed */
-bool mh_core_ready (const MhCore *core);
+MhAction *
+mh_core_pop (MhCore *core);
+gint64
+mh_core_next_wake (const MhCore *core); /* steady time of the next tick that is needed */
+bool
+mh_core_ready (const MhCore *core);
+bool
+mh_core_leads (const MhCore *core); /* holds a valid lease */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -13,19 +13,19 @@
 static void
 loose_clear (gpointer data)
 {
-  g_free (((MhLoose *) data)->job);
+  g_free (((MhLoose *)data)->job);
 }
 
 static void
 stray_clear (gpointer data)
 {
-  g_free (((MhStray *) data)->job);
+  g_free (((MhStray *)data)->job);
 }
 
 static void
 cached_free (gpointer data)
 {
-  g_free (((MhCached *) data)->name);
+  g_free (((MhCached *)data)->name);
   g_free (data);
 }
 
@@ -142,7 +142,7 @@
 mh_fleet_cached (const MhMachine *m, const char *image)
 {
   for (guint i = 0; i < m->cache->len; i++)
-    if (strcmp (((MhCached *) g_ptr_array_index (m->cache, i))->name, image) == 0)
+    if (strcmp (((MhCached *)g_ptr_array_index (m->cache, i))->name, image) == 0)
       return true;
   return false;
 }
@@ -170,10 +170,10 @@
       c->gb = gb;
     }
   for (guint i = 0; i < m->cache->len; i++)
-    total += ((MhCached *) g_ptr_array_index (m->cache, i))->gb;
+    total += ((MhCached *)g_ptr_array_index (m->cache, i))->gb;
   while (m->type && m->cache->len && total > m->type->cache_gb)
     {
-      total -= ((MhCached *) g_ptr_array_index (m->cache, 0))->gb;
+      total -= ((MhCached *)g_ptr_array_index (m->cache, 0))->gb;
       g_ptr_array_remove_index (m->cache, 0);
     }
   g_ptr_array_add (m->cache, c); /* the last one used stands last */
@@ -194,7 +194,7 @@
       if (t)
         g_hash_table_insert (core->team_use, t->name, u);
       else
-        g_hash_table_insert (core->team_use, (gpointer) g_intern_string (team), u);
+        g_hash_table_insert (core->team_use, (gpointer)g_intern_string (team), u);
     }
   return u;
 }
@@ -377,7 +377,7 @@
       gint64 wait = MH_SECOND_US << MIN (job->errors - 2, 6u);
       job->retry_us = core->now.mono_us + wait;
       mh_info (core, "job %s: failed %u times in a row; next start in %d s", job->spec->id,
-               job->errors, (int) (wait / MH_SECOND_US));
+               job->errors, (int)(wait / MH_SECOND_US));
     }
   m->errors++;
   bool other = m->error_job && strcmp (m->error_job, job->spec->id) != 0;
@@ -439,8 +439,7 @@
     {
       a->seen = a->present = true;
       a->phase = t->phase;
-      set_running (a, t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING,
-                   core->now.mono_us);
+      set_running (a, t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING, core->now.mono_us);
       mh_fleet_cache (m, job->spec->image, job->spec->image_gb);
       if (t->phase != MH_TASK_ENDED)
         return;
@@ -484,12 +483,12 @@
   m->spot = r->spot;
   if (r->notice_us >= 0 && m->notice_until_us < 0)
     mh_info (core, "machine %s: the cloud takes it back in %.1f s", m->name,
-             (double) r->notice_us / MH_SECOND_US);
+             (double)r->notice_us / MH_SECOND_US);
   m->notice_until_us = r->notice_us >= 0 ? core->now.mono_us + r->notice_us : -1;
   settle_loose (m);
 
   for (guint i = 0; i < m->attempts->len; i++)
-    ((MhAttempt *) g_ptr_array_index (m->attempts, i))->present = false;
+    ((MhAttempt *)g_ptr_array_index (m->attempts, i))->present = false;
   g_array_set_size (m->strays, 0);
   for (guint i = 0; i < r->tasks->len; i++)
     observe_task (core, m, &g_array_index (r->tasks, MhReportTask, i));
@@ -519,11 +518,9 @@
 add_order (GArray *orders, MhOrderKind kind, const char *job, guint index, guint64 attempt,
            gint64 grace_us)
 {
-  MhOrder o = { .kind = kind,
-                .job = g_strdup (job),
-                .index = index,
-                .attempt = attempt,
-                .grace_us = grace_us };
+  MhOrder o = {
+    .kind = kind, .job = g_strdup (job), .index = index, .attempt = attempt, .grace_us = grace_us
+  };
   g_array_append_val (orders, o);
 }
 
@@ -626,8 +623,7 @@
 {
   Direct *d = data;
   MhMachine *m = mh_fleet_machine (core, d->machine);
-  g_autoptr (MhReport) r
-      = status == 200 || status == 409 ? mh_wire_read_report (body) : NULL;
+  g_autoptr (MhReport) r = status == 200 || status == 409 ? mh_wire_read_report (body) : NULL;
   if (m == NULL || m->gone)
     return;
   m->direct--;
--- a/src/job.c
+++ b/src/job.c
@@ -11,10 +11,8 @@
 }
 
 MhJob *
-mh_job_new (MhJobSpec *spec, const MhSettings *settings, gint64 submitted_wall_us,
-            const MhNow *now)
+mh_job_new (MhJobSpec *spec, gint64 submitted_wall_us, const MhNow *now)
 {
-  (void) settings;
   MhJob *job = g_new0 (MhJob, 1);
   job->spec = spec;
   job->submitted_wall_us = submitted_wall_us;
--- a/src/leader.c
+++ b/src/leader.c
@@ -24,7 +24,7 @@
 static gint64
 lease_end (const MhCore *core, gint64 sent_us)
 {
-  return sent_us + (gint64) ((double) core->settings->lease_us * (1 - DRIFT)) - MARGIN_US;
+  return sent_us + (gint64)((double)core->settings->lease_us * (1 - DRIFT)) - MARGIN_US;
 }
 
 static bool
@@ -35,16 +35,19 @@
 
 /* ---- following ---- */
 
-static void watch (MhCore *core, guint64 since);
-static void look (MhCore *core);
-static void campaign (MhCore *core);
+static void
+watch (MhCore *core, guint64 since);
+static void
+look (MhCore *core);
+static void
+campaign (MhCore *core);
 
 static void
 retry (MhCore *core, gint64 after_us)
 {
   core->leader.busy = false;
   core->leader.retry_us
-      = core->now.mono_us + after_us + (gint64) (core->now.jitter * (double) after_us);
+      = core->now.mono_us + after_us + (gint64)(core->now.jitter * (double)after_us);
 }
 
 static void
@@ -69,7 +72,7 @@
 static void
 look_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  (void) data;
+  (void)data;
   if (status == 404)
     {
       g_clear_pointer (&core->leader.node, g_free);
@@ -106,7 +109,7 @@
 watch_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
   guint64 ledger;
-  (void) data;
+  (void)data;
   g_autoptr (GPtrArray) news = status == 200 ? mh_wire_read_news (body, &ledger) : NULL;
   if (news == NULL)
     {
@@ -157,10 +160,10 @@
 static void
 ignore_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  (void) core;
-  (void) data;
-  (void) status;
-  (void) body;
+  (void)core;
+  (void)data;
+  (void)status;
+  (void)body;
 }
 
 /* The lease is ended, so that a late copy of the transaction cannot take the key with it. */
@@ -196,7 +199,7 @@
 static void
 check_won_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  (void) data;
+  (void)data;
   MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
   g_autofree char *node = NULL;
   guint64 epoch;
@@ -214,7 +217,7 @@
 take_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
   guint64 stamp;
-  (void) data;
+  (void)data;
   if (status == 200 && mh_wire_read_ledger (body, &stamp))
     {
       if (core->now.mono_us < core->leader.valid_until_us)
@@ -224,8 +227,8 @@
     }
   else if (status == 0 || status == 200)
     /* Unknown: it may have been carried out. */
-    mh_core_call (core, MH_RANK_LEASE, mh_wire_get ("leader"), 0, CALL_TIMEOUT_US,
-                  check_won_reply, NULL, NULL);
+    mh_core_call (core, MH_RANK_LEASE, mh_wire_get ("leader"), 0, CALL_TIMEOUT_US, check_won_reply,
+                  NULL, NULL);
   else
     give_up_campaign (core, status == 409 ? 20000 : 200000);
 }
@@ -247,7 +250,7 @@
 epoch_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
   guint64 epoch = 0, stamp = 0;
-  (void) data;
+  (void)data;
   if (status == 200)
     {
       MhEntry *e = mh_wire_read_entry (body);
@@ -287,8 +290,8 @@
       give_up_campaign (core, 200000);
       return;
     }
-  core->leader.valid_until_us = lease_end (core, ((Sent *) data)->sent_us);
-  core->leader.confirmed_us = ((Sent *) data)->sent_us;
+  core->leader.valid_until_us = lease_end (core, ((Sent *)data)->sent_us);
+  core->leader.confirmed_us = ((Sent *)data)->sent_us;
   mh_core_call (core, MH_RANK_LEASE, mh_wire_get ("epoch"), 0, CALL_TIMEOUT_US, epoch_reply, NULL,
                 NULL);
 }
@@ -308,8 +311,8 @@
 static void
 renew_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  gint64 sent = ((Sent *) data)->sent_us;
-  (void) body;
+  gint64 sent = ((Sent *)data)->sent_us;
+  (void)body;
   core->leader.renewing = false;
   core->leader.renew_us = core->now.mono_us + core->settings->lease_us / 10;
   if (status == 200)
@@ -341,7 +344,7 @@
   g_hash_table_iter_init (&it, core->jobs);
   while (g_hash_table_iter_next (&it, NULL, &job))
     {
-      GArray *waiters = ((MhJob *) job)->waiters;
+      GArray *waiters = ((MhJob *)job)->waiters;
       for (guint i = 0; i < waiters->len; i++)
         mh_core_answer (core, g_array_index (waiters, MhWaiter, i).id, 503, 1);
       g_array_set_size (waiters, 0);
@@ -414,7 +417,7 @@
 bump_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
   guint64 stamp;
-  (void) data;
+  (void)data;
   if (status == 200 && mh_wire_read_ledger (body, &stamp))
     {
       core->leader.own_epoch++;
@@ -476,7 +479,8 @@
     {
       if (!core->leader.busy && now >= core->leader.retry_us)
         look (core);
-      mh_core_wake_at (core, MAX (core->leader.retry_us, now + 10000));
+      if (!core->leader.busy)
+        mh_core_wake_at (core, core->leader.retry_us);
       return;
     }
   if (!core->leader.renewing && now >= core->leader.renew_us)
@@ -507,7 +511,7 @@
       for (guint i = 0; i < core->settings->members->len; i++)
         {
           MhAction *a = mh_core_act (core, MH_ACTION_TELL, core->leader.own_epoch);
-          a->text = g_strdup (((MhMember *) g_ptr_array_index (core->settings->members, i))->name);
+          a->text = g_strdup (((MhMember *)g_ptr_array_index (core->settings->members, i))->name);
         }
     }
   if (core->leader.phase == MH_PHASE_LEAD && !core->leader.rebuilt && rebuilt (core))
@@ -515,7 +519,7 @@
       core->leader.rebuilt = true;
       core->place_wanted = true;
       mh_info (core, "counts rebuilt %.1f s after the election",
-               (double) (now - core->leader.since_us) / MH_SECOND_US);
+               (double)(now - core->leader.since_us) / MH_SECOND_US);
     }
 }
 
--- a/src/main.c
+++ b/src/main.c
@@ -23,7 +23,7 @@
 static GLogWriterOutput
 write_log (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
 {
-  (void) data;
+  (void)data;
   if ((level & log_mask) == 0)
     return G_LOG_WRITER_HANDLED;
   /* GIO tells at length of every connection that it makes. */
@@ -36,7 +36,7 @@
                                                                       : "error";
   for (gsize i = 0; i < n; i++)
     if (strcmp (fields[i].key, "MESSAGE") == 0)
-      fprintf (stderr, "%s: %s\n", word, (const char *) fields[i].value);
+      fprintf (stderr, "%s: %s\n", word, (const char *)fields[i].value);
   return G_LOG_WRITER_HANDLED;
 }
 
@@ -60,8 +60,8 @@
   const GOptionEntry entries[]
       = { { "config", 0, 0, G_OPTION_ARG_FILENAME, &config, "The platform's settings (TOML)",
             "FILE" },
-          { "operator", 0, 0, G_OPTION_ARG_FILENAME, &operator_file,
-            "The operator's own settings", "FILE" },
+          { "operator", 0, 0, G_OPTION_ARG_FILENAME, &operator_file, "The operator's own settings",
+            "FILE" },
           { "check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL },
           { "version", 0, 0, G_OPTION_ARG_NONE, &version, "Show the version and exit", NULL },
           G_OPTION_ENTRY_NULL };
--- a/src/peer.c
+++ b/src/peer.c
@@ -27,8 +27,8 @@
   if (!ok)
     return NULL;
   GByteArray *out = g_byte_array_sized_new (size + HEAD);
-  g_byte_array_append (out, (const guint8 *) &head, HEAD);
-  g_byte_array_append (out, (const guint8 *) room, size);
+  g_byte_array_append (out, (const guint8 *)&head, HEAD);
+  g_byte_array_append (out, (const guint8 *)room, size);
   return out;
 }
 
@@ -40,10 +40,10 @@
   peer_message m = { .kind = PEER_CALL };
   peer_call *call = &m.peer_message_u.call;
   call->id = id;
-  call->verb = (peer_verb) verb;
-  call->job = (char *) job;
-  call->body.body_len = (u_int) size;
-  call->body.body_val = (char *) data;
+  call->verb = (peer_verb)verb;
+  call->job = (char *)job;
+  call->body.body_len = (u_int)size;
+  call->body.body_val = (char *)data;
   return write_record (&m);
 }
 
@@ -51,12 +51,12 @@
 mh_peer_write_answer (guint64 id, const MhUserAnswer *a)
 {
   peer_message m = { .kind = PEER_ANSWER };
-  m.peer_message_u.answer = (peer_answer) { .id = id,
-                                            .status = a->status,
-                                            .retry_after_s = a->retry_after_s,
-                                            .state = a->state,
-                                            .done = a->done,
-                                            .running = a->running };
+  m.peer_message_u.answer = (peer_answer){ .id = id,
+                                           .status = a->status,
+                                           .retry_after_s = a->retry_after_s,
+                                           .state = a->state,
+                                           .done = a->done,
+                                           .running = a->running };
   return write_record (&m);
 }
 
@@ -64,7 +64,7 @@
 mh_peer_write_news (const char *node, guint64 epoch)
 {
   peer_message m = { .kind = PEER_NEWS };
-  m.peer_message_u.news = (peer_news) { .node = (char *) node, .epoch = epoch };
+  m.peer_message_u.news = (peer_news){ .node = (char *)node, .epoch = epoch };
   return write_record (&m);
 }
 
@@ -80,7 +80,7 @@
         return false;
       m->kind = MH_PEER_CALL;
       m->id = call->id;
-      m->verb = (MhUserVerb) call->verb;
+      m->verb = (MhUserVerb)call->verb;
       m->job = g_strdup (call->job);
       m->body = g_bytes_new (call->body.body_val, call->body.body_len);
       return true;
@@ -97,11 +97,11 @@
     return false;
   m->kind = MH_PEER_ANSWER;
   m->id = a->id;
-  m->answer = (MhUserAnswer) { .status = a->status,
-                               .retry_after_s = a->retry_after_s,
-                               .state = (MhJobState) a->state,
-                               .done = a->done,
-                               .running = a->running };
+  m->answer = (MhUserAnswer){ .status = a->status,
+                              .retry_after_s = a->retry_after_s,
+                              .state = (MhJobState)a->state,
+                              .done = a->done,
+                              .running = a->running };
   return true;
 }
 
@@ -120,9 +120,9 @@
   XDR xdr;
   peer_message x;
   memset (&x, 0, sizeof x);
-  xdrmem_create (&xdr, (char *) buffer->data + HEAD, size, XDR_DECODE);
+  xdrmem_create (&xdr, (char *)buffer->data + HEAD, size, XDR_DECODE);
   bool ok = xdr_peer_message (&xdr, &x) && xdr_getpos (&xdr) == size && take (&x, message);
-  xdr_free ((xdrproc_t) xdr_peer_message, (char *) &x);
+  xdr_free ((xdrproc_t)xdr_peer_message, (char *)&x);
   xdr_destroy (&xdr);
   g_byte_array_remove_range (buffer, 0, HEAD + size);
   return ok ? MH_PEER_READ : MH_PEER_BAD;
--- a/src/peer.h
+++ b/src/peer.h
@@ -13,19 +13,23 @@
 typedef struct
 {
   MhPeerKind kind;
-  guint64 id; /* NEWS: the epoch */
+  guint64 id;      /* NEWS: the epoch */
   MhUserVerb verb; /* CALL */
   char *job;       /* CALL; NEWS: the node that leads */
   GBytes *body;    /* CALL */
   MhUserAnswer answer;
 } MhPeerMessage;
 
-void mh_peer_message_clear (MhPeerMessage *message);
+void
+mh_peer_message_clear (MhPeerMessage *message);
 
 /* Each returns a whole record, its length first. */
-GByteArray *mh_peer_write_call (guint64 id, MhUserVerb verb, const char *job, GBytes *body);
-GByteArray *mh_peer_write_answer (guint64 id, const MhUserAnswer *answer);
-GByteArray *mh_peer_write_news (const char *node, guint64 epoch);
+GByteArray *
+mh_peer_write_call (guint64 id, MhUserVerb verb, const char *job, GBytes *body);
+GByteArray *
+mh_peer_write_answer (guint64 id, const MhUserAnswer *answer);
+GByteArray *
+mh_peer_write_news (const char *node, guint64 epoch);
 
 typedef enum
 {
@@ -35,4 +39,5 @@
 } MhPeerRead;
 
 /* Takes one record off the front of `buffer`. */
-MhPeerRead mh_peer_read (GByteArray *buffer, MhPeerMessage *message);
+MhPeerRead
+mh_peer_read (GByteArray *buffer, MhPeerMessage *message);
--- a/src/place.c
+++ b/src/place.c
@@ -13,9 +13,9 @@
 bool
 mh_place_type_fits (const MhJobSpec *s, const MhMachineType *t)
 {
-  if (s->types && !g_strv_contains ((const char *const *) s->types, t->name))
+  if (s->types && !g_strv_contains ((const char *const *)s->types, t->name))
     return false;
-  if (s->zone && t->zones && !g_strv_contains ((const char *const *) t->zones, s->zone))
+  if (s->zone && t->zones && !g_strv_contains ((const char *const *)t->zones, s->zone))
     return false;
   return s->cpus <= t->cpus + EPSILON && s->gpus <= t->gpus + EPSILON
          && s->mem_gb <= t->mem_gb + EPSILON;
@@ -61,7 +61,7 @@
 static gint
 by_submission (gconstpointer a, gconstpointer b)
 {
-  const MhJob *x = *(MhJob *const *) a, *y = *(MhJob *const *) b;
+  const MhJob *x = *(MhJob *const *)a, *y = *(MhJob *const *)b;
   if (x->submitted_wall_us != y->submitted_wall_us)
     return x->submitted_wall_us < y->submitted_wall_us ? -1 : 1;
   return strcmp (x->spec->id, y->spec->id);
@@ -78,7 +78,7 @@
 static gint
 by_order (gconstpointer a, gconstpointer b)
 {
-  const MhJob *x = *(MhJob *const *) a, *y = *(MhJob *const *) b;
+  const MhJob *x = *(MhJob *const *)a, *y = *(MhJob *const *)b;
   if (tier (x) != tier (y))
     return tier (x) < tier (y) ? -1 : 1;
   if (x->spec->priority != y->spec->priority)
@@ -108,7 +108,7 @@
     }
   stat->n++;
   double weight = MAX (1.0 / stat->n, 0.02);
-  stat->ratio += weight * ((double) ran_us / (double) s->estimate_us - stat->ratio);
+  stat->ratio += weight * ((double)ran_us / (double)s->estimate_us - stat->ratio);
 }
 
 /* When the job should be over, by its deadline or its class's aim. One that is hopelessly late goes
@@ -123,7 +123,8 @@
     for (guint i = 0; i < core->settings->objectives->len; i++)
       {
         const MhObjective *o = g_ptr_array_index (core->settings->objectives, i);
-        if (o->kind == MH_OBJECTIVE_FINISHED && g_strcmp0 (o->class_name, job->spec->class_name) == 0
+        if (o->kind == MH_OBJECTIVE_FINISHED
+            && g_strcmp0 (o->class_name, job->spec->class_name) == 0
             && job->submitted_us + o->within_us > now)
           at = MIN (at, job->submitted_us + o->within_us);
       }
@@ -131,7 +132,7 @@
     at = job->submitted_us + 600 * MH_SECOND_US;
   if (at < now)
     at += MH_HOPELESS_US;
-  return (double) at;
+  return (double)at;
 }
 
 /* A job is within its team's guarantee if it fits into it together with the team's earlier
@@ -153,8 +154,8 @@
       double left = job->spec->tasks - job->n_done;
       sum->cpus += left * job->spec->cpus;
       sum->gpus += left * job->spec->gpus;
-      job->guaranteed = team && sum->cpus <= team->cpus + EPSILON
-                        && sum->gpus <= team->gpus + EPSILON;
+      job->guaranteed
+          = team && sum->cpus <= team->cpus + EPSILON && sum->gpus <= team->gpus + EPSILON;
     }
 }
 
@@ -187,7 +188,7 @@
       job->sort_key = due (core, job);
       jobs->pdata[kept++] = job;
     }
-  g_ptr_array_set_size (jobs, (gint) kept);
+  g_ptr_array_set_size (jobs, (gint)kept);
   g_ptr_array_sort (jobs, by_order);
   return jobs;
 }
@@ -305,7 +306,8 @@
     for (guint i = 0; i < s->tasks && p->job->n_live; i++)
       if (p->job->tasks[i].live)
         {
-          /* A machine known from a record alone has no zone yet: nothing can be placed beside it. */
+          /* A machine known from a record alone has no zone yet: nothing can be placed beside it.
+           */
           const char *z = p->job->tasks[i].live->machine->zone;
           only_zone = z ? z : "";
           break;
@@ -333,7 +335,7 @@
 static bool
 zone_allows (const Placing *p, guint zone)
 {
-  const MhZoneCount *zones = (const MhZoneCount *) p->zones->data;
+  const MhZoneCount *zones = (const MhZoneCount *)p->zones->data;
   const MhJobSpec *s = p->job->spec;
   if (s->scatter && zones[zone].count + 1 > (s->tasks + 1) / 2)
     return false;
@@ -342,8 +344,7 @@
     for (guint i = 0; i < p->zones->len; i++)
       if (i != zone && zones[i].count)
         return false;
-  return !p->spread || p->soft
-         || mh_spread_hard_fits (zones, p->zones->len, zone, p->max_skew);
+  return !p->spread || p->soft || mh_spread_hard_fits (zones, p->zones->len, zone, p->max_skew);
 }
 
 static void
@@ -353,7 +354,7 @@
     for (guint i = 0; i < p->candidates->len; i++)
       {
         Candidate *c = &g_array_index (p->candidates, Candidate, i);
-        c->score = mh_spread_soft_score ((MhZoneCount *) p->zones->data, p->zones->len, c->zone,
+        c->score = mh_spread_soft_score ((MhZoneCount *)p->zones->data, p->zones->len, c->zone,
                                          p->max_skew);
       }
   g_array_sort (p->candidates, by_walk);
@@ -412,11 +413,11 @@
 static gint
 by_loss (gconstpointer a, gconstpointer b)
 {
-  const MhAttempt *x = *(MhAttempt *const *) a, *y = *(MhAttempt *const *) b;
+  const MhAttempt *x = *(MhAttempt *const *)a, *y = *(MhAttempt *const *)b;
   /* The youngest has the least to lose. */
   gint64 sx = x->running_us ? x->running_us : G_MAXINT64;
   gint64 sy = y->running_us ? y->running_us : G_MAXINT64;
-  return sx > sy ? -1 : sx < sy ? 1 : (gint) x->index - (gint) y->index;
+  return sx > sy ? -1 : sx < sy ? 1 : (gint)x->index - (gint)y->index;
 }
 
 /* Room that is being freed already counts, so that one need is not met twice. */
@@ -486,7 +487,7 @@
           mem += a->job->spec->mem_gb;
           loss += a->job->spec->cpus
                   * (a->running_us
-                         ? 1 + (double) (p->core->now.mono_us - a->running_us) / MH_SECOND_US
+                         ? 1 + (double)(p->core->now.mono_us - a->running_us) / MH_SECOND_US
                          : 1);
           g_ptr_array_add (victims, a);
         }
@@ -528,11 +529,8 @@
 {
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
   g_autoptr (GArray) zones = g_array_new (FALSE, FALSE, sizeof (MhZoneCount));
-  Placing p = { .core = core,
-                .job = job,
-                .candidates = candidates,
-                .zones = zones,
-                .task = job->cursor };
+  Placing p
+      = { .core = core, .job = job, .candidates = candidates, .zones = zones, .task = job->cursor };
   const MhJobSpec *s = job->spec;
   if (core->now.mono_us < job->retry_us)
     {
@@ -586,7 +584,7 @@
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    ((MhMachine *) value)->promised_cpus = ((MhMachine *) value)->promised_mem = 0;
+    ((MhMachine *)value)->promised_cpus = ((MhMachine *)value)->promised_mem = 0;
   g_autoptr (GPtrArray) queue = mh_place_queue (core);
   guint starts = 0, preemptions = 0;
   for (guint i = 0; i < queue->len; i++)
--- a/src/record.c
+++ b/src/record.c
@@ -20,7 +20,7 @@
   if (r->chunk == 0)
     {
       mh_value_set (m, "s", mh_wire_write_submission (job->spec));
-      mh_value_set_uint (m, "at", (guint64) MAX (job->submitted_wall_us, 0));
+      mh_value_set_uint (m, "at", (guint64)MAX (job->submitted_wall_us, 0));
       if (job->cancelled)
         mh_value_set_bool (m, "x", true);
     }
@@ -63,7 +63,7 @@
   if (!mh_value_get_uint (v, "state", &state) || !mh_value_get_uint (v, "done", &done)
       || (state != MH_JOB_DONE && state != MH_JOB_CANCELLED))
     return false;
-  *a = (MhUserAnswer) { .status = 200, .state = (MhJobState) state, .done = (guint) done };
+  *a = (MhUserAnswer){ .status = 200, .state = (MhJobState)state, .done = (guint)done };
   return true;
 }
 
@@ -112,7 +112,7 @@
   g_autoptr (MhJobSpec) spec = mh_wire_read_submission (mh_value_get (v, "s"));
   if (spec == NULL || strcmp (spec->id, id) != 0 || !mh_value_get_uint (v, "at", &at))
     return NULL;
-  *submitted_wall_us = (gint64) at;
+  *submitted_wall_us = (gint64)at;
   *cancelled = false;
   mh_value_get_bool (v, "x", cancelled);
   return g_steal_pointer (&spec);
@@ -133,10 +133,9 @@
           || attempt > G_MAXUINT32)
         return false;
       g_autofree char *machine = NULL;
-      if (mh_value_size (item) > 2
-          && (machine = mh_value_as_text (mh_value_at (item, 2))) == NULL)
+      if (mh_value_size (item) > 2 && (machine = mh_value_as_text (mh_value_at (item, 2))) == NULL)
         return false;
-      each (data, (guint) index, (guint32) attempt, machine);
+      each (data, (guint)index, (guint32)attempt, machine);
     }
   return true;
 }
--- a/src/scale.c
+++ b/src/scale.c
@@ -49,7 +49,7 @@
 static void
 types_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  (void) data;
+  (void)data;
   GPtrArray *types = status == 200 ? mh_wire_read_machine_types (body) : NULL;
   core->scale.types_busy = false;
   core->scale.types_us = core->now.mono_us + (types ? TYPES_US : MH_SECOND_US);
@@ -88,12 +88,13 @@
     mh_scale_release (core, m, "failed");
 }
 
-static void list_page (MhCore *core, const char *after);
+static void
+list_page (MhCore *core, const char *after);
 
 static void
 list_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  (void) data;
+  (void)data;
   bool more = false;
   g_autoptr (GPtrArray) list = status == 200 ? mh_wire_read_machine_list (body, &more) : NULL;
   core->scale.list_busy = false;
@@ -103,7 +104,7 @@
   for (guint i = 0; i < list->len; i++)
     listed (core, g_ptr_array_index (list, i));
   if (more && list->len)
-    list_page (core, ((MhListedMachine *) g_ptr_array_index (list, list->len - 1))->name);
+    list_page (core, ((MhListedMachine *)g_ptr_array_index (list, list->len - 1))->name);
   else
     core->scale.listed = true;
 }
@@ -122,7 +123,7 @@
 release_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
   char **names = data;
-  (void) body;
+  (void)body;
   for (; *names; names++)
     {
       MhMachine *m = mh_fleet_machine (core, *names);
@@ -137,8 +138,7 @@
         m->release_sent = false;
     }
   if (status != 200)
-    core->cloud_pause_us
-        = core->now.mono_us + 500000 + (gint64) (core->now.jitter * 500000);
+    core->cloud_pause_us = core->now.mono_us + 500000 + (gint64)(core->now.jitter * 500000);
 }
 
 static void
@@ -160,9 +160,9 @@
   if (names->len == 0)
     return;
   g_ptr_array_add (names, NULL);
-  char **list = (char **) g_ptr_array_free (g_steal_pointer (&names), FALSE);
+  char **list = (char **)g_ptr_array_free (g_steal_pointer (&names), FALSE);
   mh_core_call (core, MH_RANK_RULES, mh_wire_release (list), 0, CLOUD_TIMEOUT_US, release_reply,
-                list, (GDestroyNotify) g_strfreev);
+                list, (GDestroyNotify)g_strfreev);
 }
 
 static void
@@ -260,20 +260,20 @@
               continue;
             double slots = MIN (s->cpus > 0 ? t->cpus / s->cpus : n,
                                 s->mem_gb > 0 ? t->mem_gb / s->mem_gb : n);
-            slots = MAX (1, MIN ((double) (guint) (slots + 1e-6), n));
+            slots = MAX (1, MIN ((double)(guint)(slots + 1e-6), n));
             double cost = (spot ? t->spot_price * SPOT_RISK : t->price) / slots;
             guint load = machines_in_zone (core, virtuals, *zone);
             if (cost < best - 1e-9 || (cost < best + 1e-9 && load < best_load))
               {
                 best = cost;
                 best_load = load;
-                *out = (Virtual) { .type = t,
-                                   .zone = *zone,
-                                   .spot = spot,
-                                   .wanted = true,
-                                   .cpus = t->cpus,
-                                   .gpus = t->gpus,
-                                   .mem = t->mem_gb };
+                *out = (Virtual){ .type = t,
+                                  .zone = *zone,
+                                  .spot = spot,
+                                  .wanted = true,
+                                  .cpus = t->cpus,
+                                  .gpus = t->gpus,
+                                  .mem = t->mem_gb };
               }
           }
     }
@@ -297,7 +297,8 @@
   g_free (r);
 }
 
-static void rent (MhCore *core, Rental *r);
+static void
+rent (MhCore *core, Rental *r);
 
 static void
 rent_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
@@ -329,7 +330,7 @@
       return;
     }
   /* Not known, or not now: the same name again, so that nothing is rented twice. */
-  core->cloud_pause_us = core->now.mono_us + 300000 + (gint64) (core->now.jitter * 300000);
+  core->cloud_pause_us = core->now.mono_us + 300000 + (gint64)(core->now.jitter * 300000);
   Rental *again = g_new0 (Rental, 1);
   *again = *r;
   again->name = g_strdup (r->name);
@@ -380,7 +381,7 @@
 static gint
 by_end (gconstpointer a, gconstpointer b)
 {
-  gint64 x = ((const Ending *) a)->at_us, y = ((const Ending *) b)->at_us;
+  gint64 x = ((const Ending *)a)->at_us, y = ((const Ending *)b)->at_us;
   return x < y ? -1 : x > y;
 }
 
@@ -403,7 +404,7 @@
           const MhJobSpec *s = a->job->spec;
           if (s->shape == MH_SHAPE_SERVICE)
             continue;
-          gint64 whole = (gint64) ((double) s->estimate_us * mh_place_bias (core, s->class_name));
+          gint64 whole = (gint64)((double)s->estimate_us * mh_place_bias (core, s->class_name));
           gint64 left = whole - (a->running_us ? now - a->running_us : 0);
           /* One that has outrun its estimate goes on for a part of it. */
           Ending e = { .at_us = now + MAX (left, whole / 4), .cpus = s->cpus, .mem = s->mem_gb };
@@ -414,8 +415,8 @@
   return endings;
 }
 
-/* Whether a task may wait for room that running tasks leave: a machine rented now would not be there
-   sooner, or the task would still end in time. Takes the room if so. */
+/* Whether a task may wait for room that running tasks leave: a machine rented now would not be
+   there sooner, or the task would still end in time. Takes the room if so. */
 static bool
 may_wait (MhCore *core, const MhJob *job, GArray *endings, guint *next, double *cpus)
 {
@@ -430,8 +431,8 @@
       if (mh_place_type_fits (s, t))
         soonest = MIN (soonest, t->boot_us);
     }
-  gint64 run = (gint64) ((double) s->estimate_us * mh_place_bias (core, s->class_name));
-  gint64 due = (gint64) job->sort_key;
+  gint64 run = (gint64)((double)s->estimate_us * mh_place_bias (core, s->class_name));
+  gint64 due = (gint64)job->sort_key;
   gint64 latest = due > now + MH_HOPELESS_US / 2 ? now : due - run - run / 2;
   latest = MAX (latest, now + soonest);
   while (*cpus < s->cpus && *next < endings->len
@@ -515,8 +516,8 @@
         continue;
       if (first == NULL)
         first = v;
-      count += v->type == first->type && v->spot == first->spot
-               && strcmp (v->zone, first->zone) == 0;
+      count
+          += v->type == first->type && v->spot == first->spot && strcmp (v->zone, first->zone) == 0;
     }
   if (first == NULL)
     return;
@@ -568,10 +569,11 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     if (!mh_job_over (value))
       waiting += mh_job_pending (value);
-  mh_info (core,
-           "fleet: %u machines (%u idle), %u coming, %u leaving; %.0f of %.0f cpus in use; %u tasks "
-           "waiting",
-           live, idle, coming, leaving, used, all, waiting);
+  mh_info (
+      core,
+      "fleet: %u machines (%u idle), %u coming, %u leaving; %.0f of %.0f cpus in use; %u tasks "
+      "waiting",
+      live, idle, coming, leaving, used, all, waiting);
 }
 
 void
--- a/src/settings.c
+++ b/src/settings.c
@@ -4,7 +4,7 @@
 #include <math.h>
 #include <string.h>
 
-G_DEFINE_QUARK (mh-settings-error-quark, mh_settings_error)
+G_DEFINE_QUARK (mh - settings - error - quark, mh_settings_error)
 
 static void
 member_free (gpointer data)
@@ -191,7 +191,8 @@
                        CFG_INT ("max_skew", 0, CFGF_NODEFAULT),
                        CFG_STR ("when_unsatisfiable", NULL, CFGF_NODEFAULT),
                        CFG_BOOL ("direct", cfg_true, CFGF_NODEFAULT),
-                       CFG_SEC ("spread", spread_opts, CFGF_MULTI | CFGF_TITLE), CFG_END () };
+                       CFG_SEC ("spread", spread_opts, CFGF_MULTI | CFGF_TITLE),
+                       CFG_END () };
   cfg_t *cfg = cfg_init (opts, CFGF_NONE);
   cfg_set_error_function (cfg, confuse_error);
   int rc = cfg_parse (cfg, path);
@@ -204,29 +205,29 @@
   g_clear_pointer (&operator_problem, g_free);
 
 #define IF_SET(name) if (ok && cfg_size (cfg, name) > 0)
-  IF_SET ("lease_s") s->lease_us = (gint64) (cfg_getfloat (cfg, "lease_s") * MH_SECOND_US);
-  IF_SET ("silence_s") s->silence_us = (gint64) (cfg_getfloat (cfg, "silence_s") * MH_SECOND_US);
-  IF_SET ("idle_s") s->idle_us = (gint64) (cfg_getfloat (cfg, "idle_s") * MH_SECOND_US);
+  IF_SET ("lease_s") s->lease_us = (gint64)(cfg_getfloat (cfg, "lease_s") * MH_SECOND_US);
+  IF_SET ("silence_s") s->silence_us = (gint64)(cfg_getfloat (cfg, "silence_s") * MH_SECOND_US);
+  IF_SET ("idle_s") s->idle_us = (gint64)(cfg_getfloat (cfg, "idle_s") * MH_SECOND_US);
   IF_SET ("direct") s->direct = cfg_getbool (cfg, "direct");
   IF_SET ("batch")
   {
     if (cfg_getint (cfg, "batch") < 2)
       ok = fail (error, "batch must be at least 2");
     else
-      s->batch = (guint) cfg_getint (cfg, "batch");
+      s->batch = (guint)cfg_getint (cfg, "batch");
   }
   IF_SET ("max_skew")
   {
     if (cfg_getint (cfg, "max_skew") < 1)
       ok = fail (error, "max_skew must be at least 1");
     else
-      s->max_skew = (guint) cfg_getint (cfg, "max_skew");
+      s->max_skew = (guint)cfg_getint (cfg, "max_skew");
   }
 #undef IF_SET
   if (ok && (s->idle_us < 0 || s->silence_us < 0))
     ok = fail (error, "idle_s and silence_s must not be negative");
 
-  for (int level = -1; ok && level < (int) cfg_size (cfg, "spread"); level++)
+  for (int level = -1; ok && level < (int)cfg_size (cfg, "spread"); level++)
     {
       cfg_t *sec = level < 0 ? cfg : cfg_getnsec (cfg, "spread", level);
       const char *when
@@ -250,7 +251,7 @@
         }
       MhSpreadRule *rule = g_new0 (MhSpreadRule, 1);
       rule->class_name = g_strdup (cfg_title (sec));
-      rule->max_skew = skew ? (guint) skew : s->max_skew;
+      rule->max_skew = skew ? (guint)skew : s->max_skew;
       rule->soft = when ? strcmp (when, "ScheduleAnyway") == 0 : s->soft;
       g_ptr_array_add (s->spread, rule);
     }
--- a/src/settings.h
+++ b/src/settings.h
@@ -48,27 +48,34 @@
   double state_rps, state_write_rps, cloud_rps;
   guint value_bytes, txn_ops, max_connections;
   /* the operator's */
-  gint64 lease_us;        /* leader's lease in the state service */
-  gint64 silence_us;      /* a machine silent for this long is given back; 0: derived */
-  gint64 idle_us;         /* an idle machine is given back after this long */
-  guint batch;            /* records in a transaction; at most txn_ops */
-  guint max_skew;         /* default of all classes */
-  bool soft;              /* default of all classes: ScheduleAnyway */
-  bool direct;            /* send starts straight to workers */
-  GPtrArray *spread;      /* MhSpreadRule */
+  gint64 lease_us;   /* leader's lease in the state service */
+  gint64 silence_us; /* a machine silent for this long is given back; 0: derived */
+  gint64 idle_us;    /* an idle machine is given back after this long */
+  guint batch;       /* records in a transaction; at most txn_ops */
+  guint max_skew;    /* default of all classes */
+  bool soft;         /* default of all classes: ScheduleAnyway */
+  bool direct;       /* send starts straight to workers */
+  GPtrArray *spread; /* MhSpreadRule */
 } MhSettings;
 
-MhSettings *mh_settings_load (const char *path, const char *operator_path, GError **error);
-void mh_settings_free (MhSettings *settings);
+MhSettings *
+mh_settings_load (const char *path, const char *operator_path, GError **error);
+void
+mh_settings_free (MhSettings *settings);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhSettings, mh_settings_free)
 
 /* Empty settings holding the defaults; the start of every loaded one. */
-MhSettings *mh_settings_new (void);
-bool mh_settings_check (MhSettings *settings, GError **error);
-MhTeam *mh_settings_team (const MhSettings *settings, const char *name);
+MhSettings *
+mh_settings_new (void);
+bool
+mh_settings_check (MhSettings *settings, GError **error);
+MhTeam *
+mh_settings_team (const MhSettings *settings, const char *name);
 
 /* toml-file.cpp: fills the platform's part. */
-bool mh_toml_read (const char *path, MhSettings *settings, char **problem);
+bool
+mh_toml_read (const char *path, MhSettings *settings, char **problem);
 
 #define MH_SETTINGS_ERROR (mh_settings_error_quark ())
-GQuark mh_settings_error_quark (void);
+GQuark
+mh_settings_error_quark (void);
--- a/src/shell.c
+++ b/src/shell.c
@@ -66,14 +66,15 @@
   bool pumping;
 };
 
-static void pump (Shell *shell);
+static void
+pump (Shell *shell);
 
 static MhNow
 now (Shell *shell)
 {
-  return (MhNow) { .mono_us = g_get_monotonic_time (),
-                   .wall_us = g_get_real_time (),
-                   .jitter = g_rand_double (shell->random) };
+  return (MhNow){ .mono_us = g_get_monotonic_time (),
+                  .wall_us = g_get_real_time (),
+                  .jitter = g_rand_double (shell->random) };
 }
 
 /* ---- requests that wait ---- */
@@ -108,7 +109,7 @@
 message_finished (SoupServerMessage *message, gpointer data)
 {
   Request *r = data;
-  (void) message;
+  (void)message;
   g_hash_table_remove (r->shell->requests, &r->id);
 }
 
@@ -152,8 +153,10 @@
 
 /* ---- peers ---- */
 
-static void peer_read (Peer *peer);
-static void peer_flush (Peer *peer);
+static void
+peer_read (Peer *peer);
+static void
+peer_flush (Peer *peer);
 
 static Peer *
 peer_new (Shell *shell, const char *node)
@@ -321,7 +324,7 @@
       peer_close (p);
       return;
     }
-  g_byte_array_append (p->in, p->chunk, (guint) n);
+  g_byte_array_append (p->in, p->chunk, (guint)n);
   p->reading = true; /* keeps the peer while its messages are handled */
   MhPeerMessage m;
   MhPeerRead read;
@@ -364,8 +367,8 @@
 peer_incoming (GSocketService *service, GSocketConnection *connection, GObject *source,
                gpointer data)
 {
-  (void) service;
-  (void) source;
+  (void)service;
+  (void)source;
   peer_ready (peer_new (data, NULL), g_object_ref (connection));
   return TRUE;
 }
@@ -395,8 +398,8 @@
 address_of (const char *text)
 {
   const char *colon = strrchr (text, ':');
-  g_autofree char *host = g_strndup (text, colon ? (gsize) (colon - text) : strlen (text));
-  return colon ? g_inet_socket_address_new_from_string (host, (guint) atoi (colon + 1)) : NULL;
+  g_autofree char *host = g_strndup (text, colon ? (gsize)(colon - text) : strlen (text));
+  return colon ? g_inet_socket_address_new_from_string (host, (guint)atoi (colon + 1)) : NULL;
 }
 
 static Peer *
@@ -449,7 +452,7 @@
       return;
     }
   r->forwarded = p;
-  r->timeout = g_timeout_add ((guint) (a->timeout_us / 1000), forward_timeout, r);
+  r->timeout = g_timeout_add ((guint)(a->timeout_us / 1000), forward_timeout, r);
   peer_send (p, mh_peer_write_call (r->id, r->verb, r->job, r->body));
 }
 
@@ -530,7 +533,7 @@
       soup_message_set_request_body_from_bytes (call->message, CBOR, bytes);
     }
   call->cancel = g_cancellable_new ();
-  call->timeout = g_timeout_add ((guint) (a->timeout_us / 1000), call_timeout, call);
+  call->timeout = g_timeout_add ((guint)(a->timeout_us / 1000), call_timeout, call);
   soup_session_send_and_read_async (shell->session, call->message, G_PRIORITY_DEFAULT, call->cancel,
                                     call_done, call);
 }
@@ -605,7 +608,7 @@
 static gboolean
 timer_dispatch (GSource *source, GSourceFunc func, gpointer data)
 {
-  (void) source;
+  (void)source;
   return func (data);
 }
 
@@ -631,15 +634,15 @@
 static void
 early (SoupServer *server, SoupServerMessage *m, const char *path, GHashTable *query, gpointer data)
 {
-  (void) server;
-  (void) path;
-  (void) query;
-  (void) data;
+  (void)server;
+  (void)path;
+  (void)query;
+  (void)data;
   Counted *c = g_new0 (Counted, 1);
-  goffset length = soup_message_headers_get_content_length (
-      soup_server_message_get_request_headers (m));
-  if (length > (goffset) MH_MAX_BODY)
-    c->size = (gsize) length;
+  goffset length
+      = soup_message_headers_get_content_length (soup_server_message_get_request_headers (m));
+  if (length > (goffset)MH_MAX_BODY)
+    c->size = (gsize)length;
   g_object_set_data_full (G_OBJECT (m), "mh-counted", c, g_free);
   g_signal_connect (m, "got-chunk", G_CALLBACK (got_chunk), c);
 }
@@ -695,12 +698,13 @@
 }
 
 static void
-handle (SoupServer *server, SoupServerMessage *m, const char *path, GHashTable *query, gpointer data)
+handle (SoupServer *server, SoupServerMessage *m, const char *path, GHashTable *query,
+        gpointer data)
 {
   Shell *shell = data;
   const char *method = soup_server_message_get_method (m);
-  (void) server;
-  (void) query;
+  (void)server;
+  (void)query;
   Counted *c = g_object_get_data (G_OBJECT (m), "mh-counted");
   if (c && c->size > MH_MAX_BODY)
     {
@@ -752,8 +756,7 @@
       handle_job (shell, m, what == STATUS ? MH_USER_STATUS : MH_USER_WITHDRAW, parts[2]);
       return;
     }
-  g_autoptr (GBytes) bytes
-      = soup_message_body_flatten (soup_server_message_get_request_body (m));
+  g_autoptr (GBytes) bytes = soup_message_body_flatten (soup_server_message_get_request_body (m));
   gsize size;
   const void *raw = g_bytes_get_data (bytes, &size);
   g_autoptr (MhValue) body = mh_value_load (raw, size);
@@ -790,9 +793,9 @@
     return false;
   g_signal_connect (shell.peer_service, "incoming", G_CALLBACK (peer_incoming), &shell);
 
-  shell.session = soup_session_new_with_options (
-      "proxy-resolver", NULL, "max-conns", 256, "max-conns-per-host", CONNECTIONS_PER_HOST,
-      "timeout", 0, "idle-timeout", 30, NULL);
+  shell.session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 256,
+                                                 "max-conns-per-host", CONNECTIONS_PER_HOST,
+                                                 "timeout", 0, "idle-timeout", 30, NULL);
   soup_session_remove_feature_by_type (shell.session, SOUP_TYPE_CONTENT_DECODER);
 
   MhNow t = now (&shell);
--- a/src/shell.h
+++ b/src/shell.h
@@ -5,4 +5,5 @@
 #include "settings.h"
 
 /* Runs until the process is killed; false with an error when it cannot listen. */
-bool mh_shell_run (const MhSettings *settings, GError **error);
+bool
+mh_shell_run (const MhSettings *settings, GError **error);
--- a/src/spread.c
+++ b/src/spread.c
@@ -19,5 +19,5 @@
   for (guint i = 0; i < n_zones; i++)
     if (zones[i].feasible)
       min = MIN (min, zones[i].count);
-  return (gint) (zones[zone].count - min) - (gint) max_skew;
+  return (gint)(zones[zone].count - min) - (gint)max_skew;
 }
--- a/src/store.c
+++ b/src/store.c
@@ -48,7 +48,8 @@
 static void
 txn_call (MhCore *core, Txn *t, MhRank rank, MhRequest *request, double writes, MhReplyFunc func)
 {
-  mh_core_call (core, rank, request, writes, CALL_TIMEOUT_US, func, g_rc_box_acquire (t), txn_unref);
+  mh_core_call (core, rank, request, writes, CALL_TIMEOUT_US, func, g_rc_box_acquire (t),
+                txn_unref);
 }
 
 void
@@ -78,7 +79,8 @@
 
 /* ---- writing ---- */
 
-static void txn_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
+static void
+txn_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
 
 static void
 txn_send (MhCore *core, Txn *t)
@@ -277,7 +279,7 @@
   else if (status == 409)
     {
       g_auto (GStrv) failed = mh_wire_read_failed (body);
-      bool leader = failed && g_strv_contains ((const char *const *) failed, "leader");
+      bool leader = failed && g_strv_contains ((const char *const *)failed, "leader");
       if (t->unknown && !leader && t->first_key)
         txn_call (core, t, MH_RANK_RULES, mh_wire_get (t->first_key), 0, recheck_reply);
       else
@@ -294,8 +296,7 @@
       /* 429 and 503 say that it was not executed; anything else leaves it open. */
       if (status != 429 && status != 503)
         t->unknown = true;
-      core->state_pause_us
-          = core->now.mono_us + 100000 + (gint64) (core->now.jitter * 150000);
+      core->state_pause_us = core->now.mono_us + 100000 + (gint64)(core->now.jitter * 150000);
       txn_send (core, t);
     }
 }
@@ -322,7 +323,7 @@
   g_autoptr (GArray) conditions = g_array_new (FALSE, FALSE, sizeof (MhCondition));
   g_autoptr (GArray) changes = g_array_new (FALSE, FALSE, sizeof (MhChange));
   g_autoptr (GPtrArray) keys = g_ptr_array_new_with_free_func (g_free);
-  g_autoptr (GPtrArray) values = g_ptr_array_new_with_free_func ((GDestroyNotify) mh_value_unref);
+  g_autoptr (GPtrArray) values = g_ptr_array_new_with_free_func ((GDestroyNotify)mh_value_unref);
   Txn *t = g_rc_box_new0 (Txn);
   t->writes = g_array_new (FALSE, FALSE, sizeof (Write));
   t->tag = g_strdup_printf ("%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, core->leader.own_epoch,
@@ -350,7 +351,8 @@
       guint need = job->finished ? 2 + drops : 1;
       if (changes->len > 0 && changes->len + need > batch)
         break;
-      MhValue *v = job->finished ? mh_record_write_final (job, t->tag) : mh_record_write (r, t->tag);
+      MhValue *v
+          = job->finished ? mh_record_write_final (job, t->tag) : mh_record_write (r, t->tag);
       gsize size = mh_value_json_size (v) + 300;
       if (changes->len > 0 && bytes + size > TXN_BYTES)
         {
@@ -383,7 +385,7 @@
         if (job->records[i].stamp)
           {
             MhChange drop = { .key = mh_record_key (job->spec->id, i) };
-            g_ptr_array_add (keys, (gpointer) drop.key);
+            g_ptr_array_add (keys, (gpointer)drop.key);
             g_array_append_val (changes, drop);
           }
       Write w = { .record = r, .rev = r->rev, .final = job->finished, .cancelled = job->cancelled };
@@ -397,7 +399,7 @@
   while (changes->len < batch && core->garbage.length && t->writes->len == 0)
     {
       MhChange drop = { .key = g_queue_pop_head (&core->garbage) };
-      g_ptr_array_add (keys, (gpointer) drop.key);
+      g_ptr_array_add (keys, (gpointer)drop.key);
       g_array_append_val (changes, drop);
     }
   if (changes->len == 0)
@@ -406,8 +408,8 @@
       return;
     }
   t->changes = changes->len;
-  t->request = mh_wire_txn ((MhCondition *) conditions->data, conditions->len,
-                            (MhChange *) changes->data, changes->len);
+  t->request = mh_wire_txn ((MhCondition *)conditions->data, conditions->len,
+                            (MhChange *)changes->data, changes->len);
   core->txns++;
   txn_send (core, t);
   txn_unref (t);
@@ -438,7 +440,7 @@
 static void
 page_free (gpointer data)
 {
-  g_free (((Page *) data)->after);
+  g_free (((Page *)data)->after);
   g_free (data);
 }
 
@@ -483,7 +485,7 @@
           mh_core_log (core, G_LOG_LEVEL_CRITICAL, "record %s cannot be read", e->key);
           return;
         }
-      job = mh_job_new (spec, core->settings, at, &core->now);
+      job = mh_job_new (spec, at, &core->now);
       job->accepted = true;
       job->cancelled = job->cancel_durable = cancelled;
       g_hash_table_insert (core->jobs, job->spec->id, job);
@@ -498,7 +500,7 @@
           g_queue_push_tail (&core->garbage, g_strdup (e->key));
           return;
         }
-      chunk = (guint) n;
+      chunk = (guint)n;
     }
   job->records[chunk].stamp = e->stamp;
   gpointer pair[] = { core, job };
@@ -506,7 +508,8 @@
     mh_core_log (core, G_LOG_LEVEL_CRITICAL, "record %s cannot be read", e->key);
 }
 
-static void load_page (MhCore *core, const char *prefix, char *after);
+static void
+load_page (MhCore *core, const char *prefix, char *after);
 
 static void
 load_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
@@ -518,7 +521,7 @@
       = status == 200 ? mh_wire_read_entries (body, &more, &ledger) : NULL;
   if (entries == NULL)
     {
-      core->state_pause_us = core->now.mono_us + 50000 + (gint64) (core->now.jitter * 50000);
+      core->state_pause_us = core->now.mono_us + 50000 + (gint64)(core->now.jitter * 50000);
       load_page (core, page->prefix, g_strdup (page->after));
       return;
     }
@@ -555,31 +558,39 @@
 
 typedef struct
 {
+  MhCore *core;
   guint64 id;
   char *job;
   MhUserVerb verb;
-  bool final;  /* reading the final record */
-  bool leader; /* asked while in charge */
+  bool final;     /* reading the final record */
+  bool in_charge; /* memory says that the job is not unfinished */
+  bool settled;   /* answered, or another lookup will */
 } Lookup;
 
 static void
 lookup_free (gpointer data)
 {
-  g_free (((Lookup *) data)->job);
-  g_free (data);
+  Lookup *l = data;
+  /* Calls are forgotten at the end of a leadership, but not who waits for them. */
+  if (!l->settled)
+    mh_core_answer (l->core, l->id, 503, 1);
+  g_free (l->job);
+  g_free (l);
 }
 
-static void lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
+static void
+lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
 
 static void
-lookup_send (MhCore *core, guint64 id, const char *job, MhUserVerb verb, bool final, bool leader)
+lookup_send (MhCore *core, guint64 id, const char *job, MhUserVerb verb, bool final, bool in_charge)
 {
   Lookup *l = g_new0 (Lookup, 1);
+  l->core = core;
   l->id = id;
   l->job = g_strdup (job);
   l->verb = verb;
   l->final = final;
-  l->leader = leader;
+  l->in_charge = in_charge;
   g_autofree char *key = g_strconcat (final ? "f/" : "j/", job, NULL);
   mh_core_call (core, verb == MH_USER_WITHDRAW ? MH_RANK_RULES : MH_RANK_STRANGER,
                 mh_wire_get (key), 0, CALL_TIMEOUT_US, lookup_reply, l, lookup_free);
@@ -594,14 +605,12 @@
   gint64 at;
   bool cancelled;
   g_autoptr (MhJobSpec) spec = mh_record_read_job (e->value, l->job, &at, &cancelled);
-  if (spec == NULL)
-    {
-      mh_core_answer (core, l->id, 503, 1);
-      return;
-    }
   MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_USER, l->id);
-  a->answer = (MhUserAnswer) { .status = 200,
-                               .state = cancelled ? MH_JOB_CANCELLED : MH_JOB_PENDING };
+  if (spec)
+    a->answer
+        = (MhUserAnswer){ .status = 200, .state = cancelled ? MH_JOB_CANCELLED : MH_JOB_PENDING };
+  else
+    a->answer = (MhUserAnswer){ .status = 503, .retry_after_s = 1 };
 }
 
 static void
@@ -610,6 +619,7 @@
   Lookup *l = data;
   MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
   MhUserAnswer final;
+  l->settled = true;
   if (e && l->final && mh_record_read_final (e->value, &final))
     {
       mh_core_final (core, l->job, &final);
@@ -620,7 +630,7 @@
   else if (status == 404 && !l->final)
     lookup_send (core, l->id, l->job, l->verb, true, false);
   /* A leader's "never heard of it" rests on memory too: it must still have been in charge. */
-  else if (status == 404 && (!l->leader || mh_leader_valid (core)))
+  else if (status == 404 && (!l->in_charge || mh_leader_valid (core)))
     mh_core_answer (core, l->id, l->verb == MH_USER_SUBMIT ? 422 : 404, 0);
   else
     mh_core_answer (core, l->id, 503, 1);
@@ -628,7 +638,7 @@
 }
 
 void
-mh_store_lookup (MhCore *core, guint64 id, const char *job, MhUserVerb verb)
+mh_store_lookup (MhCore *core, guint64 id, const char *job, MhUserVerb verb, bool in_charge)
 {
   const MhUserAnswer *final = g_hash_table_lookup (core->finals, job);
   if (final)
@@ -636,6 +646,5 @@
       mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
       return;
     }
-  bool leader = core->leader.phase == MH_PHASE_LEAD;
-  lookup_send (core, id, job, verb, leader, leader);
+  lookup_send (core, id, job, verb, in_charge, in_charge);
 }
--- a/src/toml-file.cpp
+++ b/src/toml-file.cpp
@@ -33,7 +33,7 @@
 micros (toml::node_view<toml::node> v)
 {
   double d = number (v);
-  return d > 0 && d < 1e9 ? (gint64) (d * 1e6) : 0;
+  return d > 0 && d < 1e9 ? (gint64)(d * 1e6) : 0;
 }
 
 template <typename Each>
@@ -112,10 +112,10 @@
   s->cancel_us = micros (p["workers"]["cancel_s"]);
   s->state_rps = number (p["state"]["rps"]);
   s->state_write_rps = number (p["state"]["write_rps"]);
-  s->value_bytes = (guint) (CLAMP (number (p["state"]["value_kb"]), 0.0, 65536.0) * 1024);
-  s->txn_ops = (guint) CLAMP (number (p["state"]["txn_ops"]), 0.0, 1000.0);
+  s->value_bytes = (guint)(CLAMP (number (p["state"]["value_kb"]), 0.0, 65536.0) * 1024);
+  s->txn_ops = (guint)CLAMP (number (p["state"]["txn_ops"]), 0.0, 1000.0);
   s->cloud_rps = number (p["cloud"]["rps"]);
   s->list_lag_us = micros (p["cloud"]["list_lag_s"]);
-  s->max_connections = (guint) CLAMP (number (p["resources"]["max_connections"]), 0.0, 1e6);
+  s->max_connections = (guint)CLAMP (number (p["resources"]["max_connections"]), 0.0, 1e6);
   return true;
 }
--- a/src/types.h
+++ b/src/types.h
@@ -4,7 +4,7 @@
 #include <glib.h>
 #include <stdbool.h>
 
-#define MH_SECOND_US ((gint64) 1000000)
+#define MH_SECOND_US ((gint64)1000000)
 #define MH_MAX_TASKS 100000u
 #define MH_MAX_BODY (64u * 1024u)
 
@@ -48,7 +48,8 @@
   gint64 deadline_us; /* -1: none */
 } MhJobSpec;
 
-void mh_job_spec_free (MhJobSpec *spec);
+void
+mh_job_spec_free (MhJobSpec *spec);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhJobSpec, mh_job_spec_free)
 
 typedef enum
@@ -89,7 +90,8 @@
   GArray *tasks;    /* of MhReportTask */
 } MhReport;
 
-void mh_report_free (MhReport *report);
+void
+mh_report_free (MhReport *report);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhReport, mh_report_free)
 
 typedef enum
@@ -108,7 +110,8 @@
   gint64 grace_us;
 } MhOrder;
 
-GArray *mh_orders_new (void);
+GArray *
+mh_orders_new (void);
 
 typedef struct
 {
@@ -118,7 +121,8 @@
   char **zones;
 } MhMachineType;
 
-void mh_machine_type_free (MhMachineType *type);
+void
+mh_machine_type_free (MhMachineType *type);
 
 typedef enum
 {
--- a/src/wire.c
+++ b/src/wire.c
@@ -25,7 +25,7 @@
 static void
 report_task_clear (gpointer data)
 {
-  g_free (((MhReportTask *) data)->job);
+  g_free (((MhReportTask *)data)->job);
 }
 
 void
@@ -44,7 +44,7 @@
 static void
 order_clear (gpointer data)
 {
-  g_free (((MhOrder *) data)->job);
+  g_free (((MhOrder *)data)->job);
 }
 
 GArray *
@@ -235,17 +235,17 @@
 void
 mh_value_set (MhValue *map, const char *key, MhValue *owned)
 {
-  bool ok = cbor_map_add (map, (struct cbor_pair) { .key = cbor_move (cbor_build_string (key)),
-                                                    .value = cbor_move (owned) });
+  bool ok = cbor_map_add (map, (struct cbor_pair){ .key = cbor_move (cbor_build_string (key)),
+                                                   .value = cbor_move (owned) });
   g_assert (ok);
 }
 
 MhValue *
 mh_value_uint (guint64 n)
 {
-  return n <= G_MAXUINT8    ? cbor_build_uint8 ((guint8) n)
-         : n <= G_MAXUINT16 ? cbor_build_uint16 ((guint16) n)
-         : n <= G_MAXUINT32 ? cbor_build_uint32 ((guint32) n)
+  return n <= G_MAXUINT8    ? cbor_build_uint8 ((guint8)n)
+         : n <= G_MAXUINT16 ? cbor_build_uint16 ((guint16)n)
+         : n <= G_MAXUINT32 ? cbor_build_uint32 ((guint32)n)
                             : cbor_build_uint64 (n);
 }
 
@@ -321,9 +321,9 @@
   if (v == NULL)
     return false;
   if (cbor_isa_uint (v))
-    d = (double) cbor_get_int (v);
+    d = (double)cbor_get_int (v);
   else if (cbor_isa_negint (v))
-    d = -1.0 - (double) cbor_get_int (v);
+    d = -1.0 - (double)cbor_get_int (v);
   else if (cbor_isa_float_ctrl (v) && !cbor_float_ctrl_is_ctrl (v))
     d = cbor_float_get_float (v);
   else
@@ -345,7 +345,7 @@
     }
   if (!as_number (v, &d) || d < 0 || d > 9007199254740992.0 || d != floor (d))
     return false;
-  *out = (guint64) d;
+  *out = (guint64)d;
   return true;
 }
 
@@ -356,12 +356,12 @@
     return NULL;
   GString *s = g_string_new (NULL);
   if (cbor_string_is_definite (v))
-    g_string_append_len (s, (const char *) cbor_string_handle (v), cbor_string_length (v));
+    g_string_append_len (s, (const char *)cbor_string_handle (v), cbor_string_length (v));
   else
     for (gsize i = 0; i < cbor_string_chunk_count (v); i++)
       {
         cbor_item_t *chunk = cbor_string_chunks_handle (v)[i];
-        g_string_append_len (s, (const char *) cbor_string_handle (chunk),
+        g_string_append_len (s, (const char *)cbor_string_handle (chunk),
                              cbor_string_length (chunk));
       }
   /* Text with a NUL inside would be cut short by C strings and mean something else. */
@@ -432,9 +432,12 @@
                                { "saving", MH_TASK_SAVING },
                                { "ended", MH_TASK_ENDED },
                                {} };
-static const Word causes[] = { { "done", MH_CAUSE_DONE },     { "stopped", MH_CAUSE_STOPPED },
-                               { "error", MH_CAUSE_ERROR },   { "full", MH_CAUSE_NO_ROOM },
-                               { "in_use", MH_CAUSE_BUSY },   { "no_such", MH_CAUSE_UNKNOWN },
+static const Word causes[] = { { "done", MH_CAUSE_DONE },
+                               { "stopped", MH_CAUSE_STOPPED },
+                               { "error", MH_CAUSE_ERROR },
+                               { "full", MH_CAUSE_NO_ROOM },
+                               { "in_use", MH_CAUSE_BUSY },
+                               { "no_such", MH_CAUSE_UNKNOWN },
                                {} };
 static const Word listed[] = { { "starting", MH_LISTED_STARTING },
                                { "running", MH_LISTED_RUNNING },
@@ -486,7 +489,7 @@
   double d;
   if (!read_amount (map, key, 1e9, &d))
     return false;
-  *out = (gint64) (d * MH_SECOND_US);
+  *out = (gint64)(d * MH_SECOND_US);
   return true;
 }
 
@@ -509,7 +512,7 @@
       g_ptr_array_add (names, name);
     }
   g_ptr_array_add (names, NULL);
-  *out = (char **) g_ptr_array_free (g_steal_pointer (&names), FALSE);
+  *out = (char **)g_ptr_array_free (g_steal_pointer (&names), FALSE);
   return true;
 }
 
@@ -558,9 +561,9 @@
   if (!read_word (b, "shape", shapes, &shape) || !read_word (b, "rank", ranks, &rank)
       || !mh_value_get_uint (b, "legs", &tasks) || tasks < 1 || tasks > MH_MAX_TASKS)
     return NULL;
-  s->shape = (MhShape) shape;
-  s->priority = (MhPriority) rank;
-  s->tasks = (guint) tasks;
+  s->shape = (MhShape)shape;
+  s->priority = (MhPriority)rank;
+  s->tasks = (guint)tasks;
   if (!read_amount (b, "cpus", 1e6, &s->cpus) || !read_amount (b, "gpus", 1e6, &s->gpus)
       || !read_amount (b, "mem_gb", 1e9, &s->mem_gb)
       || !read_amount (b, "size_gb", 1e9, &s->image_gb))
@@ -606,11 +609,11 @@
   mh_value_set_bool (m, "same_place", s->one_zone);
   mh_value_set_bool (m, "scatter", s->scatter);
   mh_value_set_bool (m, "standby", s->spot);
-  mh_value_set_number (m, "runtime_s", (double) s->estimate_us / MH_SECOND_US);
-  mh_value_set_number (m, "snapshot_s", (double) s->checkpoint_us / MH_SECOND_US);
-  mh_value_set_number (m, "flush_s", (double) s->save_us / MH_SECOND_US);
+  mh_value_set_number (m, "runtime_s", (double)s->estimate_us / MH_SECOND_US);
+  mh_value_set_number (m, "snapshot_s", (double)s->checkpoint_us / MH_SECOND_US);
+  mh_value_set_number (m, "flush_s", (double)s->save_us / MH_SECOND_US);
   if (s->deadline_us >= 0)
-    mh_value_set_number (m, "due_s", (double) s->deadline_us / MH_SECOND_US);
+    mh_value_set_number (m, "due_s", (double)s->deadline_us / MH_SECOND_US);
   return m;
 }
 
@@ -643,7 +646,7 @@
   if (!mh_wire_job_id_valid (text))
     return false;
   *job = g_steal_pointer (&text);
-  *index = (guint) n;
+  *index = (guint)n;
   return true;
 }
 
@@ -683,8 +686,8 @@
           || (phase == MH_TASK_ENDED && !read_word (leg, "cause", causes, &cause))
           || !read_leg (leg, &t.job, &t.index))
         return NULL;
-      t.phase = (MhTaskPhase) phase;
-      t.cause = (MhCause) cause;
+      t.phase = (MhTaskPhase)phase;
+      t.cause = (MhCause)cause;
       g_array_append_val (r->tasks, t);
     }
   return g_steal_pointer (&r);
@@ -707,7 +710,7 @@
       mh_value_set_text (item, "leg", leg);
       mh_value_set_uint (item, "try", o->attempt);
       if (o->kind == MH_ORDER_STOP)
-        mh_value_set_number (item, "wind_down_s", (double) o->grace_us / MH_SECOND_US);
+        mh_value_set_number (item, "wind_down_s", (double)o->grace_us / MH_SECOND_US);
       mh_value_push (list, item);
     }
   mh_value_set (m, "orders", list);
@@ -731,7 +734,7 @@
   if (list == NULL || !cbor_isa_array (list))
     return NULL;
   g_autoptr (GPtrArray) types
-      = g_ptr_array_new_with_free_func ((GDestroyNotify) mh_machine_type_free);
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)mh_machine_type_free);
   for (gsize i = 0; i < mh_value_size (list); i++)
     {
       const MhValue *m = mh_value_at (list, i);
@@ -740,8 +743,8 @@
       t->name = read_name (m, "sku");
       if (!t->name || !read_amount (m, "cpus", 1e6, &t->cpus)
           || !read_amount (m, "mem_gb", 1e9, &t->mem_gb)
-          || !read_amount (m, "hourly", 1e9, &t->price)
-          || !read_duration (m, "boot_s", &t->boot_us) || !read_names (m, "halls", &t->zones))
+          || !read_amount (m, "hourly", 1e9, &t->price) || !read_duration (m, "boot_s", &t->boot_us)
+          || !read_names (m, "halls", &t->zones))
         return NULL;
       if (!read_amount (m, "gpus", 1e6, &t->gpus))
         t->gpus = 0;
@@ -777,7 +780,7 @@
       if (!l->name || !l->type || !l->zone || !read_word (m, "status", listed, &state)
           || !read_flag (m, "standby", &l->spot))
         return NULL;
-      l->state = (MhListedState) state;
+      l->state = (MhListedState)state;
       if (!read_duration (m, "held_s", &l->age_us))
         l->age_us = 0;
     }
@@ -826,7 +829,7 @@
 static GPtrArray *
 entries_new (void)
 {
-  return g_ptr_array_new_with_free_func ((GDestroyNotify) mh_entry_free);
+  return g_ptr_array_new_with_free_func ((GDestroyNotify)mh_entry_free);
 }
 
 MhEntry *
@@ -912,7 +915,7 @@
 write_grant (gint64 life_us)
 {
   MhValue *m = mh_value_map ();
-  mh_value_set_uint (m, "life_ms", (guint64) (life_us / 1000));
+  mh_value_set_uint (m, "life_ms", (guint64)(life_us / 1000));
   return m;
 }
 
@@ -1024,8 +1027,8 @@
 MhRequest *
 mh_wire_revoke (guint64 claim)
 {
-  return request (MH_TARGET_STATE, "DELETE",
-                  g_strdup_printf ("/grants/%" G_GUINT64_FORMAT, claim), NULL);
+  return request (MH_TARGET_STATE, "DELETE", g_strdup_printf ("/grants/%" G_GUINT64_FORMAT, claim),
+                  NULL);
 }
 
 MhRequest *
--- a/src/wire.h
+++ b/src/wire.h
@@ -7,51 +7,84 @@
 
 typedef cbor_item_t MhValue;
 
-void mh_value_unref (MhValue *value);
+void
+mh_value_unref (MhValue *value);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhValue, mh_value_unref)
 
 /* The whole of `data` as one CBOR item; NULL when malformed or followed by anything. */
-MhValue *mh_value_load (const void *data, gsize size);
-GBytes *mh_value_save (const MhValue *value);
+MhValue *
+mh_value_load (const void *data, gsize size);
+GBytes *
+mh_value_save (const MhValue *value);
 /* Size limits of the protocol are counted in JSON; an upper bound of it. */
-gsize mh_value_json_size (const MhValue *value);
+gsize
+mh_value_json_size (const MhValue *value);
 
 /* Small helpers for building and reading, used by records too. */
-MhValue *mh_value_map (void);
-MhValue *mh_value_list (void);
-void mh_value_set (MhValue *map, const char *key, MhValue *owned);
-void mh_value_set_text (MhValue *map, const char *key, const char *text); /* NULL: left out */
-void mh_value_set_uint (MhValue *map, const char *key, guint64 n);
-void mh_value_set_number (MhValue *map, const char *key, double d);
-void mh_value_set_bool (MhValue *map, const char *key, bool b);
-void mh_value_push (MhValue *list, MhValue *owned);
-MhValue *mh_value_uint (guint64 n);
-MhValue *mh_value_text (const char *text);
-MhValue *mh_value_get (const MhValue *map, const char *key); /* borrowed; null counts as absent */
-bool mh_value_get_uint (const MhValue *map, const char *key, guint64 *out);
-bool mh_value_get_number (const MhValue *map, const char *key, double *out);
-bool mh_value_get_bool (const MhValue *map, const char *key, bool *out);
-char *mh_value_get_text (const MhValue *map, const char *key); /* owned */
-bool mh_value_as_uint (const MhValue *item, guint64 *out);
-char *mh_value_as_text (const MhValue *item);
-gsize mh_value_size (const MhValue *list); /* 0 when not a list */
-MhValue *mh_value_at (const MhValue *list, gsize index);
+MhValue *
+mh_value_map (void);
+MhValue *
+mh_value_list (void);
+void
+mh_value_set (MhValue *map, const char *key, MhValue *owned);
+void
+mh_value_set_text (MhValue *map, const char *key, const char *text); /* NULL: left out */
+void
+mh_value_set_uint (MhValue *map, const char *key, guint64 n);
+void
+mh_value_set_number (MhValue *map, const char *key, double d);
+void
+mh_value_set_bool (MhValue *map, const char *key, bool b);
+void
+mh_value_push (MhValue *list, MhValue *owned);
+MhValue *
+mh_value_uint (guint64 n);
+MhValue *
+mh_value_text (const char *text);
+MhValue *
+mh_value_get (const MhValue *map, const char *key); /* borrowed; null counts as absent */
+bool
+mh_value_get_uint (const MhValue *map, const char *key, guint64 *out);
+bool
+mh_value_get_number (const MhValue *map, const char *key, double *out);
+bool
+mh_value_get_bool (const MhValue *map, const char *key, bool *out);
+char *
+mh_value_get_text (const MhValue *map, const char *key); /* owned */
+bool
+mh_value_as_uint (const MhValue *item, guint64 *out);
+char *
+mh_value_as_text (const MhValue *item);
+gsize
+mh_value_size (const MhValue *list); /* 0 when not a list */
+MhValue *
+mh_value_at (const MhValue *list, gsize index);
 
 /* users */
-bool mh_wire_job_id_valid (const char *id);
-MhJobSpec *mh_wire_read_submission (const MhValue *body);
-MhValue *mh_wire_write_submission (const MhJobSpec *spec);
-MhValue *mh_wire_write_status (const char *id, const MhUserAnswer *answer, bool counts);
+bool
+mh_wire_job_id_valid (const char *id);
+MhJobSpec *
+mh_wire_read_submission (const MhValue *body);
+MhValue *
+mh_wire_write_submission (const MhJobSpec *spec);
+MhValue *
+mh_wire_write_status (const char *id, const MhUserAnswer *answer, bool counts);
 
 /* workers */
-MhReport *mh_wire_read_report (const MhValue *body);
-MhValue *mh_wire_write_orders (guint64 epoch, const guint64 *tenure, GArray *orders);
-MhValue *mh_wire_write_redirect (const char *node);
+MhReport *
+mh_wire_read_report (const MhValue *body);
+MhValue *
+mh_wire_write_orders (guint64 epoch, const guint64 *tenure, GArray *orders);
+MhValue *
+mh_wire_write_redirect (const char *node);
 
 /* cloud */
-GPtrArray *mh_wire_read_machine_types (const MhValue *body);
-GPtrArray *mh_wire_read_machine_list (const MhValue *body, bool *more);
-char **mh_wire_read_rented (const MhValue *body);
+GPtrArray *
+mh_wire_read_machine_types (const MhValue *body);
+GPtrArray *
+mh_wire_read_machine_list (const MhValue *body, bool *more);
+char **
+mh_wire_read_rented (const MhValue *body);
 
 /* state service */
 typedef struct
@@ -61,7 +94,8 @@
   guint64 stamp;
 } MhEntry;
 
-void mh_entry_free (MhEntry *entry);
+void
+mh_entry_free (MhEntry *entry);
 typedef struct
 {
   const char *key;
@@ -74,12 +108,18 @@
   guint64 claim;  /* 0: none */
 } MhChange;
 
-MhEntry *mh_wire_read_entry (const MhValue *body);
-GPtrArray *mh_wire_read_entries (const MhValue *body, bool *more, guint64 *ledger);
-GPtrArray *mh_wire_read_news (const MhValue *body, guint64 *ledger);
-bool mh_wire_read_ledger (const MhValue *body, guint64 *ledger);
-char **mh_wire_read_failed (const MhValue *body);
-bool mh_wire_read_claim (const MhValue *body, guint64 *claim);
+MhEntry *
+mh_wire_read_entry (const MhValue *body);
+GPtrArray *
+mh_wire_read_entries (const MhValue *body, bool *more, guint64 *ledger);
+GPtrArray *
+mh_wire_read_news (const MhValue *body, guint64 *ledger);
+bool
+mh_wire_read_ledger (const MhValue *body, guint64 *ledger);
+char **
+mh_wire_read_failed (const MhValue *body);
+bool
+mh_wire_read_claim (const MhValue *body, guint64 *claim);
 
 /* ---- requests: who is asked, and for what ---- */
 
@@ -99,20 +139,33 @@
   MhValue *body;
 } MhRequest;
 
-void mh_request_free (MhRequest *request);
-MhRequest *mh_request_copy (const MhRequest *request);
-
-MhRequest *mh_wire_get (const char *key);
-MhRequest *mh_wire_list (const char *prefix, const char *after, guint limit);
-MhRequest *mh_wire_txn (const MhCondition *conditions, guint n_conditions, const MhChange *changes,
-                        guint n_changes);
-MhRequest *mh_wire_grant (gint64 life_us);
-MhRequest *mh_wire_extend (guint64 claim);
-MhRequest *mh_wire_revoke (guint64 claim);
-MhRequest *mh_wire_watch (const char *prefix, guint64 since, gint64 hold_us);
-MhRequest *mh_wire_machine_types (void);
-MhRequest *mh_wire_machines (const char *after);
-MhRequest *mh_wire_rent (const char *name, const char *type, const char *zone, bool spot,
-                         guint count);
-MhRequest *mh_wire_release (char **machines);
-MhRequest *mh_wire_commands (const char *endpoint, guint64 epoch, guint64 tenure, GArray *orders);
+void
+mh_request_free (MhRequest *request);
+MhRequest *
+mh_request_copy (const MhRequest *request);
+
+MhRequest *
+mh_wire_get (const char *key);
+MhRequest *
+mh_wire_list (const char *prefix, const char *after, guint limit);
+MhRequest *
+mh_wire_txn (const MhCondition *conditions, guint n_conditions, const MhChange *changes,
+             guint n_changes);
+MhRequest *
+mh_wire_grant (gint64 life_us);
+MhRequest *
+mh_wire_extend (guint64 claim);
+MhRequest *
+mh_wire_revoke (guint64 claim);
+MhRequest *
+mh_wire_watch (const char *prefix, guint64 since, gint64 hold_us);
+MhRequest *
+mh_wire_machine_types (void);
+MhRequest *
+mh_wire_machines (const char *after);
+MhRequest *
+mh_wire_rent (const char *name, const char *type, const char *zone, bool spot, guint count);
+MhRequest *
+mh_wire_release (char **machines);
+MhRequest *
+mh_wire_commands (const char *endpoint, guint64 epoch, guint64 tenure, GArray *orders);
--- /dev/null
+++ b/tests/sim.h
@@ -0,0 +1,98 @@
+/* Several cores, the stand-in world, workers and users on one fake clock. Every delay and every
+   fault comes from a seed or from the test. */
+#pragma once
+
+#include "core.h"
+#include "world.h"
+
+#define SIM_NODES 3
+
+typedef struct Sim Sim;
+
+typedef struct
+{
+  Sim *sim;
+  guint index;
+  char *name;
+  MhSettings *settings;
+  MhCore *core; /* NULL: down */
+  guint life;   /* which process of this node */
+  double drift;
+  GHashTable *requests;
+  gint64 wake_us;
+  gint64 state_cut_us, peers_cut_us, workers_cut_us; /* cut off until */
+} SimNode;
+
+typedef struct
+{
+  Sim *sim;
+  WorldMachine *machine;
+  guint node;
+  gint64 next_us, sent_us, cut_us;
+  bool flying;
+  guint flight;
+  guint64 signature;
+} SimWorker;
+
+typedef struct
+{
+  Sim *sim;
+  WorldJob *job;
+  bool withdraw; /* the user asks for it */
+  bool told_done, told_cancelled;
+  guint answered;
+  guint last_status;
+  gint64 accepted_us;
+} SimUser;
+
+struct Sim
+{
+  MhSettings *settings;
+  World *world;
+  GRand *random;
+  gint64 now_us;
+  guint64 next;
+  GSequence *events;
+  SimNode nodes[SIM_NODES];
+  GPtrArray *workers; /* SimWorker */
+  GPtrArray *users;   /* SimUser */
+  double lose, late;  /* chance that a message or its answer is lost, that it comes late */
+  bool hold_commands; /* direct commands arrive only when the test releases them */
+  GPtrArray *held;
+  GPtrArray *log; /* lines of all nodes */
+};
+
+Sim *
+sim_new (guint32 seed);
+void
+sim_free (Sim *sim);
+void
+sim_run (Sim *sim, double seconds);
+/* Runs until `done` says so; false when `seconds` have passed. */
+bool
+sim_until (Sim *sim, double seconds, bool (*done) (Sim *sim, gpointer data), gpointer data);
+void
+sim_stop_node (Sim *sim, guint node);
+void
+sim_start_node (Sim *sim, guint node);
+SimNode *
+sim_leader (Sim *sim); /* NULL: none that is valid */
+void
+sim_release_commands (Sim *sim);
+
+MhJobSpec *
+sim_spec (guint number, MhShape shape, guint tasks, double cpus);
+SimUser *
+sim_submit (Sim *sim, MhJobSpec *spec, double run_s);
+void
+sim_withdraw (SimUser *user);
+/* One request of its own; the answer's status, 0 when none came. */
+guint
+sim_ask (Sim *sim, guint node, MhUserVerb verb, const char *job, MhJobSpec *spec,
+         MhUserAnswer *answer);
+bool
+sim_all_settled (Sim *sim, gpointer unused);
+bool
+sim_logged (Sim *sim, const char *part);
+void
+sim_assert_rules (Sim *sim);
--- /dev/null
+++ b/tests/test-core.c
@@ -0,0 +1,6 @@
+#include "sim.h"
+int
+main (void)
+{
+  return 0;
+}
--- /dev/null
+++ b/tests/test-random.c
@@ -0,0 +1,133 @@
+/* Seeded days: crashes, cuts, hangs, losses, late and repeated messages over three cores, with the
+   rules checked throughout. The same seed is the same day. */
+#include "sim.h"
+
+static void
+some_trouble (Sim *sim)
+{
+  GRand *r = sim->random;
+  SimNode *n = &sim->nodes[g_rand_int_range (r, 0, SIM_NODES)];
+  gint64 until = sim->now_us + g_rand_int_range (r, 1, 25) * MH_SECOND_US;
+  SimWorker *w
+      = sim->workers->len
+            ? g_ptr_array_index (sim->workers, g_rand_int_range (r, 0, (gint)sim->workers->len))
+            : NULL;
+  switch (g_rand_int_range (r, 0, 11))
+    {
+    case 0:
+    case 1:
+      sim_stop_node (sim, n->index);
+      break;
+    case 2:
+      for (guint i = 0; i < SIM_NODES; i++)
+        sim_stop_node (sim, i);
+      break;
+    case 3:
+      n->state_cut_us = until;
+      break;
+    case 4:
+      n->peers_cut_us = until;
+      break;
+    case 5:
+      n->workers_cut_us = until;
+      break;
+    case 6:
+      sim->world->outage_until_us = until;
+      break;
+    case 7:
+      sim->world->cloud_outage_until_us = until;
+      break;
+    case 8:
+      if (w)
+        w->machine->hung_until_us = until;
+      break;
+    case 9:
+      if (w)
+        w->cut_us = until;
+      break;
+    default:
+      if (w)
+        {
+          w->machine->failed = true;
+          w->machine->up = false;
+          g_array_set_size (w->machine->tasks, 0);
+        }
+    }
+}
+
+static void
+test_day (gconstpointer data)
+{
+  Sim *sim = sim_new (GPOINTER_TO_UINT (data));
+  GRand *r = sim->random;
+  guint number = 0;
+  sim->lose = 0.01;
+  sim->late = 0.005;
+  for (guint turn = 0; turn < 60; turn++)
+    {
+      if (turn % 3 == 0)
+        {
+          bool service = g_rand_int_range (r, 0, 3) == 0;
+          MhJobSpec *s = sim_spec (++number, service ? MH_SHAPE_SERVICE : MH_SHAPE_ARRAY,
+                                   (guint)g_rand_int_range (r, 1, service ? 4 : 12),
+                                   g_rand_int_range (r, 1, 3));
+          if (g_rand_int_range (r, 0, 5) == 0)
+            s->one_zone = true;
+          else if (g_rand_int_range (r, 0, 5) == 0)
+            s->scatter = true;
+          if (g_rand_int_range (r, 0, 6) == 0)
+            s->zone = g_strdup ("b");
+          sim_submit (sim, s, service ? 0 : g_rand_double_range (r, 1, 10));
+        }
+      if (turn > 5 && g_rand_int_range (r, 0, 3) == 0)
+        some_trouble (sim);
+      if (sim->users->len && g_rand_int_range (r, 0, 6) == 0)
+        sim_withdraw (
+            g_ptr_array_index (sim->users, g_rand_int_range (r, 0, (gint)sim->users->len)));
+      for (guint i = 0; i < SIM_NODES; i++)
+        if (g_rand_boolean (r))
+          sim_start_node (sim, i);
+      sim_run (sim, 2);
+      sim_leader (sim); /* asserts that there is at most one */
+    }
+  /* Then all is well again, and everything that was accepted must come to its end. */
+  sim->lose = sim->late = 0;
+  for (guint i = 0; i < SIM_NODES; i++)
+    sim_start_node (sim, i);
+  for (guint i = 0; i < sim->users->len; i++)
+    {
+      SimUser *u = g_ptr_array_index (sim->users, i);
+      if (u->job->run_us == 0)
+        sim_withdraw (u);
+    }
+  bool settled = sim_until (sim, 400, sim_all_settled, NULL);
+  sim_assert_rules (sim);
+  if (!settled)
+    for (guint i = 0; i < sim->users->len; i++)
+      {
+        const SimUser *u = g_ptr_array_index (sim->users, i);
+        guint running = world_running (sim->world, u->job->spec->id);
+        if ((!u->told_done && !u->told_cancelled) || running)
+          g_printerr ("left: %s, %u of %u done, %u running, last answer %u%s%s\n", u->job->spec->id,
+                      u->job->n_done, u->job->spec->tasks, running, u->last_status,
+                      u->told_cancelled ? ", told cancelled" : "",
+                      u->told_done ? ", told done" : "");
+      }
+  g_assert_true (settled);
+  g_assert_cmpuint (sim->world->starts, >, 0);
+  sim_free (sim);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  const char *extra = g_getenv ("MINTHILL_SEEDS");
+  guint n = extra ? (guint)g_ascii_strtoull (extra, NULL, 10) : 40;
+  for (guint seed = 1; seed <= n; seed++)
+    {
+      g_autofree char *path = g_strdup_printf ("/random/%u", seed);
+      g_test_add_data_func (path, GUINT_TO_POINTER (seed), test_day);
+    }
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/test-wire.c
@@ -0,0 +1,311 @@
+/* Decoders: what is malformed is refused, whatever is thrown at them. */
+#include "core-private.h"
+#include "peer.h"
+
+#include <math.h>
+#include <string.h>
+
+static MhValue *
+submission (void)
+{
+  MhValue *m = mh_value_map ();
+  mh_value_set_text (m, "id", "j-000412");
+  mh_value_set_text (m, "workload", "train");
+  mh_value_set_text (m, "desk", "vision");
+  mh_value_set_text (m, "shape", "sweep");
+  mh_value_set_text (m, "rank", "urgent");
+  mh_value_set_uint (m, "legs", 16);
+  mh_value_set_number (m, "cpus", 8);
+  mh_value_set_number (m, "gpus", 1);
+  mh_value_set_number (m, "mem_gb", 64);
+  mh_value_set_text (m, "build", "img-07");
+  mh_value_set_number (m, "size_gb", 6.2);
+  mh_value_set (m, "hall", cbor_new_null ());
+  mh_value_set_bool (m, "same_place", true);
+  mh_value_set_number (m, "runtime_s", 240);
+  mh_value_set_number (m, "snapshot_s", 30);
+  mh_value_set_number (m, "flush_s", 4);
+  mh_value_set_number (m, "due_s", 900);
+  mh_value_set_text (m, "colour", "fields that nobody knows are ignored");
+  return m;
+}
+
+/* The body with one field replaced; NULL leaves it out. */
+static MhValue *
+with (MhValue *whole, const char *key, MhValue *value)
+{
+  MhValue *m = mh_value_map ();
+  struct cbor_pair *pairs = cbor_map_handle (whole);
+  for (gsize i = 0; i < cbor_map_size (whole); i++)
+    {
+      g_autofree char *name = mh_value_as_text (pairs[i].key);
+      if (strcmp (name, key) != 0)
+        mh_value_set (m, name, cbor_incref (pairs[i].value));
+    }
+  if (value)
+    mh_value_set (m, key, value);
+  mh_value_unref (whole);
+  return m;
+}
+
+static bool
+reads (MhValue *body)
+{
+  g_autoptr (GBytes) bytes = mh_value_save (body);
+  gsize size;
+  const void *data = g_bytes_get_data (bytes, &size);
+  g_autoptr (MhValue) again = mh_value_load (data, size);
+  g_assert_nonnull (again);
+  MhJobSpec *spec = mh_wire_read_submission (again);
+  mh_job_spec_free (spec);
+  mh_value_unref (body);
+  return spec != NULL;
+}
+
+static void
+test_submission (void)
+{
+  g_assert_true (reads (submission ()));
+  /* null equals absent */
+  g_assert_true (reads (with (submission (), "due_s", cbor_new_null ())));
+  g_assert_true (reads (with (submission (), "due_s", NULL)));
+  g_assert_true (reads (with (submission (), "racks", NULL)));
+  g_assert_true (reads (with (submission (), "legs", mh_value_uint (100000))));
+  static const char *const needed[]
+      = { "id",   "workload", "desk",  "shape",   "rank",      "legs",       "cpus",
+          "gpus", "mem_gb",   "build", "size_gb", "runtime_s", "snapshot_s", "flush_s" };
+  for (guint i = 0; i < G_N_ELEMENTS (needed); i++)
+    {
+      g_assert_false (reads (with (submission (), needed[i], NULL)));
+      g_assert_false (reads (with (submission (), needed[i], mh_value_list ())));
+      g_assert_false (reads (with (submission (), needed[i], cbor_build_bool (true))));
+    }
+  static const char *const amounts[]
+      = { "cpus", "gpus", "mem_gb", "size_gb", "runtime_s", "snapshot_s", "flush_s", "due_s" };
+  for (guint i = 0; i < G_N_ELEMENTS (amounts); i++)
+    {
+      g_assert_false (reads (with (submission (), amounts[i], cbor_build_float8 (-1))));
+      g_assert_false (reads (with (submission (), amounts[i], cbor_build_float8 (NAN))));
+      g_assert_false (reads (with (submission (), amounts[i], cbor_build_float8 (INFINITY))));
+      g_assert_false (reads (with (submission (), amounts[i], mh_value_text ("4"))));
+    }
+  static const char *const ids[]
+      = { "", "j-", "j-12", "k-000412", "j-00041x", "j-000412/3", "j-0000000000000000000", "../f" };
+  for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
+    g_assert_false (reads (with (submission (), "id", mh_value_text (ids[i]))));
+  g_assert_false (reads (with (submission (), "legs", mh_value_uint (0))));
+  g_assert_false (reads (with (submission (), "legs", mh_value_uint (100001))));
+  g_assert_false (reads (with (submission (), "legs", cbor_build_float8 (1.5))));
+  g_assert_true (reads (with (submission (), "legs", cbor_build_float8 (2))));
+  g_assert_false (reads (with (submission (), "shape", mh_value_text ("circle"))));
+  g_assert_false (reads (with (submission (), "rank", mh_value_text ("URGENT"))));
+  g_assert_false (reads (with (submission (), "racks", mh_value_text ("g8"))));
+  g_assert_false (reads (with (submission (), "hall", mh_value_uint (1))));
+  g_assert_false (reads (with (submission (), "standby", mh_value_uint (1))));
+}
+
+static void
+test_round_trip (void)
+{
+  g_autoptr (MhValue) body = submission ();
+  g_autoptr (MhJobSpec) spec = mh_wire_read_submission (body);
+  g_autoptr (MhValue) written = mh_wire_write_submission (spec);
+  g_autoptr (MhJobSpec) again = mh_wire_read_submission (written);
+  g_assert_cmpstr (again->id, ==, "j-000412");
+  g_assert_cmpuint (again->tasks, ==, 16);
+  g_assert_cmpint (again->deadline_us, ==, 900 * MH_SECOND_US);
+  g_assert_cmpint (again->checkpoint_us, ==, 30 * MH_SECOND_US);
+  g_assert_true (again->one_zone);
+  g_assert_false (again->scatter);
+  g_assert_null (again->zone);
+}
+
+static void
+test_bytes (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    gsize size;
+  } bad[] = {
+    { "", 0 },
+    { "\xa1", 1 },                                 /* a map without its pair */
+    { "\xa0\x00", 2 },                             /* something follows */
+    { "\xff", 1 },                                 /* a break outside */
+    { "\x5b\xff\xff\xff\xff\xff\xff\xff\xff", 9 }, /* longer than it is */
+    { "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 9 }, /* more items than bytes */
+    { "\xbf\x61\x61\xff", 4 },                     /* half a pair */
+    { "\x1c", 1 },                                 /* reserved */
+    { "\x7f\x41\x61\xff", 4 },                     /* bytes inside text */
+    { "{\"id\":1}", 8 },                           /* JSON */
+  };
+  for (guint i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      g_autoptr (MhValue) v = mh_value_load (bad[i].bytes, bad[i].size);
+      g_assert_null (v);
+    }
+  g_autofree char *deep = g_strnfill (5000, (char)0x81);
+  g_autoptr (MhValue) v = mh_value_load (deep, 5000);
+  g_assert_null (v);
+}
+
+/* Whatever bytes come, each reader says yes or no and nothing else happens. */
+static void
+test_noise (void)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (895);
+  g_autoptr (MhValue) good = submission ();
+  g_autoptr (GBytes) bytes = mh_value_save (good);
+  gsize size;
+  const guint8 *data = g_bytes_get_data (bytes, &size);
+  guint loaded = 0;
+  for (guint round = 0; round < 20000; round++)
+    {
+      g_autofree guint8 *noise = g_memdup2 (data, size);
+      gsize n = (gsize)g_rand_int_range (random, 1, (gint)size + 1);
+      for (guint k = (guint)g_rand_int_range (random, 1, 6); k > 0; k--)
+        noise[g_rand_int_range (random, 0, (gint)n)] = (guint8)g_rand_int (random);
+      g_autoptr (MhValue) v = mh_value_load (noise, round % 2 ? n : size);
+      if (v == NULL)
+        continue;
+      loaded++;
+      bool more;
+      guint64 number;
+      MhUserAnswer a;
+      mh_job_spec_free (mh_wire_read_submission (v));
+      mh_report_free (mh_wire_read_report (v));
+      mh_entry_free (mh_wire_read_entry (v));
+      g_clear_pointer (&(GPtrArray *){ mh_wire_read_machine_types (v) }, g_ptr_array_unref);
+      g_clear_pointer (&(GPtrArray *){ mh_wire_read_machine_list (v, &more) }, g_ptr_array_unref);
+      g_clear_pointer (&(GPtrArray *){ mh_wire_read_entries (v, &more, &number) },
+                       g_ptr_array_unref);
+      g_clear_pointer (&(GPtrArray *){ mh_wire_read_news (v, &number) }, g_ptr_array_unref);
+      mh_wire_read_claim (v, &number);
+      mh_record_read_final (v, &a);
+      mh_value_json_size (v);
+    }
+  g_assert_cmpuint (loaded, >, 100);
+}
+
+static void
+test_report (void)
+{
+  MhValue *m = mh_value_map (), *legs = mh_value_list (), *leg = mh_value_map ();
+  mh_value_set_text (leg, "leg", "j-000412/3");
+  mh_value_set_uint (leg, "try", 2);
+  mh_value_set_text (leg, "status", "ended");
+  mh_value_set_text (leg, "cause", "in_use");
+  mh_value_push (legs, leg);
+  mh_value_set_text (m, "box", "vm-000231");
+  mh_value_set_text (m, "endpoint", "10.1.0.232:9000");
+  mh_value_set_text (m, "rack", "g8");
+  mh_value_set_text (m, "hall", "a");
+  mh_value_set_bool (m, "standby", true);
+  mh_value_set_uint (m, "tenure", 1);
+  mh_value_set_uint (m, "tick", 88);
+  mh_value_set_uint (m, "epoch", 41);
+  mh_value_set_number (m, "warning_s", 7.5);
+  mh_value_set (m, "legs", legs);
+  g_autoptr (MhReport) r = mh_wire_read_report (m);
+  g_assert_nonnull (r);
+  g_assert_cmpuint (r->tasks->len, ==, 1);
+  g_assert_cmpuint (g_array_index (r->tasks, MhReportTask, 0).index, ==, 3);
+  g_assert_cmpint (g_array_index (r->tasks, MhReportTask, 0).cause, ==, MH_CAUSE_BUSY);
+  g_assert_cmpint (r->notice_us, ==, 7500000);
+  static const char *const needed[]
+      = { "box", "endpoint", "rack", "hall", "tenure", "tick", "epoch" };
+  for (guint i = 0; i < G_N_ELEMENTS (needed); i++)
+    {
+      g_autoptr (MhValue) part = with (cbor_incref (m), needed[i], NULL);
+      g_assert_null (mh_wire_read_report (part));
+    }
+  mh_value_unref (m);
+}
+
+static void
+test_peer (void)
+{
+  g_autoptr (GByteArray) buffer = g_byte_array_new ();
+  g_autoptr (GBytes) body = g_bytes_new_static ("\xa0", 1);
+  MhUserAnswer answer = { .status = 200, .state = MH_JOB_DONE, .done = 3 };
+  GByteArray *records[] = { mh_peer_write_call (7, MH_USER_SUBMIT, "j-000001", body),
+                            mh_peer_write_answer (8, &answer), mh_peer_write_news ("node-1", 9) };
+  for (guint i = 0; i < G_N_ELEMENTS (records); i++)
+    {
+      g_byte_array_append (buffer, records[i]->data, records[i]->len);
+      g_byte_array_unref (records[i]);
+    }
+  /* Byte by byte, as a network may deliver it. */
+  g_autoptr (GByteArray) in = g_byte_array_new ();
+  MhPeerMessage m;
+  guint n = 0;
+  for (guint i = 0; i < buffer->len; i++)
+    {
+      g_byte_array_append (in, buffer->data + i, 1);
+      MhPeerRead read = mh_peer_read (in, &m);
+      g_assert_cmpint (read, !=, MH_PEER_BAD);
+      if (read == MH_PEER_MORE)
+        continue;
+      if (n == 0)
+        g_assert_cmpstr (m.job, ==, "j-000001");
+      else if (n == 1)
+        g_assert_cmpuint (m.answer.done, ==, 3);
+      else
+        g_assert_cmpuint (m.id, ==, 9);
+      n++;
+      mh_peer_message_clear (&m);
+    }
+  g_assert_cmpuint (n, ==, 3);
+  /* A length beyond any message must not be waited for. */
+  g_byte_array_append (in, (const guint8 *)"\xff\xff\xff\xff", 4);
+  g_assert_cmpint (mh_peer_read (in, &m), ==, MH_PEER_BAD);
+  g_autoptr (GRand) random = g_rand_new_with_seed (5531);
+  for (guint round = 0; round < 5000; round++)
+    {
+      g_autoptr (GByteArray) noise = g_byte_array_new ();
+      g_byte_array_append (noise, buffer->data, buffer->len);
+      noise->data[g_rand_int_range (random, 0, (gint)noise->len)] = (guint8)g_rand_int (random);
+      while (mh_peer_read (noise, &m) == MH_PEER_READ)
+        mh_peer_message_clear (&m);
+    }
+}
+
+/* The largest record must fit the smallest values that a deployment offers. */
+static void
+test_record_size (void)
+{
+  MhNow now = { 0, 0, 0 };
+  MhJobSpec *spec = g_new0 (MhJobSpec, 1);
+  g_autofree char *long_name = g_strnfill (200, 'x');
+  spec->id = g_strdup ("j-123456789012345678");
+  spec->class_name = g_strdup (long_name);
+  spec->team = g_strdup (long_name);
+  spec->image = g_strdup (long_name);
+  spec->zone = g_strdup (long_name);
+  spec->tasks = 200;
+  MhJob *job = mh_job_new (spec, 0, &now);
+  MhMachine machine = { .name = (char *)"vm-000000000001" };
+  MhAttempt attempt = { .machine = &machine };
+  for (guint i = 0; i < spec->tasks; i++)
+    job->tasks[i] = (MhTask){ .live = &attempt, .attempt = 4000000000u, .state = MH_TASK_LIVE };
+  for (guint i = 0; i < job->n_records; i++)
+    {
+      g_autoptr (MhValue) v = mh_record_write (&job->records[i], "18446744073709551615.1");
+      g_assert_cmpuint (mh_value_json_size (v), <, 8192);
+    }
+  mh_job_free (job);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/wire/submission", test_submission);
+  g_test_add_func ("/wire/round-trip", test_round_trip);
+  g_test_add_func ("/wire/bytes", test_bytes);
+  g_test_add_func ("/wire/noise", test_noise);
+  g_test_add_func ("/wire/report", test_report);
+  g_test_add_func ("/wire/record-size", test_record_size);
+  g_test_add_func ("/peer/records", test_peer);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,106 @@
+/* A stand-in for everything outside the service, by the published protocol: the state service, the
+   cloud, the workers, and what users know. It keeps its own account of the rules. No I/O, no clock.
+ */
+#pragma once
+
+#include "settings.h"
+#include "wire.h"
+
+typedef struct
+{
+  char *leg; /* "j-000001/0" */
+  char *job;
+  guint index;
+  guint64 attempt;
+  MhTaskPhase phase;
+  const char *cause;
+  gint64 ready_us, end_us; /* image there; run ends (0: never) */
+} WorldTask;
+
+typedef struct
+{
+  char *name, *endpoint, *type, *zone;
+  bool spot, up, gone, failed, sick;
+  gint64 rented_us, up_us, gone_us, hung_until_us;
+  guint64 tenure, tick, epoch;
+  gint64 lease_from_us; /* when the last answered report was sent */
+  GArray *tasks;        /* WorldTask */
+  GHashTable *images;
+} WorldMachine;
+
+typedef struct
+{
+  MhJobSpec *spec;
+  gint64 run_us;       /* what a task really takes; 0: for ever */
+  gint64 cancelled_us; /* told to the user; 0: not */
+  bool accepted;
+  guint8 *done; /* by task */
+  guint n_done;
+} WorldJob;
+
+typedef struct
+{
+  guint64 token; /* the caller's */
+  guint status;
+  MhValue *body;
+} WorldWoken;
+
+typedef struct World
+{
+  const MhSettings *settings;
+  gint64 now_us;
+  gint64 boot_us, list_lag_us;
+  /* state service */
+  GTree *keys;
+  guint64 ledger, next_grant;
+  GHashTable *grants; /* id -> gint64 end */
+  GHashTable *lives;  /* id -> gint64 life */
+  GArray *history;
+  GArray *watches;
+  gint64 outage_until_us;
+  /* cloud */
+  GPtrArray *machines; /* WorldMachine */
+  GHashTable *rentals; /* name -> comma-separated machines */
+  guint capacity;      /* machines at once */
+  gint64 cloud_outage_until_us;
+  guint64 n_rented;
+  /* users */
+  GHashTable *jobs; /* id -> WorldJob */
+  /* rules */
+  GPtrArray *broken; /* text */
+  guint starts;
+} World;
+
+World *
+world_new (const MhSettings *settings);
+void
+world_free (World *world);
+
+/* Lets time pass: leases end, machines come up, tasks run. Answers of watches go to `woken`. */
+void
+world_advance (World *world, gint64 now_us, GArray *woken);
+
+/* Serves a request to the state service or the cloud. False: the answer comes through
+   world_advance under `token`. */
+bool
+world_serve (World *world, MhTarget target, const char *method, const char *path,
+             const MhValue *body, guint64 token, guint *status, MhValue **reply);
+
+WorldMachine *
+world_machine (World *world, const char *name);
+WorldMachine *
+world_add_machine (World *world, const char *type, const char *zone, bool spot);
+MhValue *
+world_report (World *world, WorldMachine *machine); /* a new report: the tick rises */
+/* What the worker does with the response to the report sent at `sent_us` under `tenure`. */
+void
+world_response (World *world, WorldMachine *machine, gint64 sent_us, guint64 tenure,
+                const MhValue *body);
+guint
+world_commands (World *world, WorldMachine *machine, const MhValue *body, MhValue **reply);
+
+WorldJob *
+world_job (World *world, MhJobSpec *spec, gint64 run_us);
+/* Everything on machines, for checks. */
+guint
+world_running (World *world, const char *job);
