--- a/tests/sim.c
+++ b/tests/sim.c
@@ -81,6 +81,7 @@
   guint node, life; /* FROM_NODE */
   guint64 id;
   char *job;
+  MhJobSpec *spec;      /* FROM_TEST */
   MhUserAnswer *answer; /* FROM_TEST */
   bool *answered;
 } Origin;
@@ -88,8 +89,10 @@
 static void
 origin_free (gpointer data)
 {
-  g_free (((Origin *)data)->job);
-  g_free (data);
+  Origin *o = data;
+  g_free (o->job);
+  mh_job_spec_free (o->spec);
+  g_free (o);
 }
 
 static void
@@ -378,7 +381,7 @@
   if (o->verb == MH_USER_SUBMIT)
     {
       WorldJob *j = g_hash_table_lookup (sim->world->jobs, o->job);
-      b->spec = spec_copy (j->spec);
+      b->spec = spec_copy (o->spec ? o->spec : j->spec);
     }
   at (sim, sim->now_us + delay (sim), forward_arrive, b, between_free);
   at (sim, sim->now_us + a->timeout_us, forward_back, timeout, between_free);
@@ -391,6 +394,7 @@
   if (n->core == NULL || sim->now_us < n->wake_us)
     return;
   n->wake_us = G_MAXINT64;
+  n->wakes++;
   MhNow t = node_now (n);
   mh_core_tick (n->core, &t);
   node_drain (n);
@@ -767,6 +771,7 @@
   o->job = g_strdup (job);
   o->answer = answer;
   o->answered = &answered;
+  o->spec = spec ? spec_copy (spec) : NULL;
   MhNow t = node_now (n);
   mh_core_user (n->core, &t, node_request (n, o), verb, job, spec, false);
   node_drain (n);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -17,6 +17,7 @@
   MhSettings *settings;
   MhCore *core; /* NULL: down */
   guint life;   /* which process of this node */
+  guint wakes;
   double drift;
   GHashTable *requests;
   gint64 wake_us;
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -1,6 +1,526 @@
+/* For each rule of the protocol a day that would break it, with a fake clock and scripted peers. */
 #include "sim.h"
+
+#include <string.h>
+
+static bool
+told_done (Sim *sim, gpointer data)
+{
+  (void)sim;
+  return ((SimUser *)data)->told_done;
+}
+
+static bool
+told_cancelled (Sim *sim, gpointer data)
+{
+  (void)sim;
+  return ((SimUser *)data)->told_cancelled;
+}
+
+static bool
+all_run (Sim *sim, gpointer data)
+{
+  const SimUser *u = data;
+  return world_running (sim->world, u->job->spec->id) == u->job->spec->tasks;
+}
+
+static bool
+accepted (Sim *sim, gpointer data)
+{
+  (void)sim;
+  return ((SimUser *)data)->job->accepted;
+}
+
+static bool
+has_leader (Sim *sim, gpointer data)
+{
+  (void)data;
+  return sim_leader (sim) != NULL;
+}
+
+static bool
+is_gone (Sim *sim, gpointer data)
+{
+  (void)sim;
+  return ((WorldMachine *)data)->gone;
+}
+
+static SimWorker *
+worker_of (Sim *sim, const char *leg)
+{
+  for (guint i = 0; i < sim->workers->len; i++)
+    {
+      SimWorker *w = g_ptr_array_index (sim->workers, i);
+      for (guint k = 0; k < w->machine->tasks->len; k++)
+        if (strcmp (g_array_index (w->machine->tasks, WorldTask, k).leg, leg) == 0)
+          return w;
+    }
+  return NULL;
+}
+
+#define WAIT(sim, seconds, what, data) g_assert_true (sim_until (sim, seconds, what, data))
+
+static SimUser *
+running_service (Sim *sim, guint number, guint tasks)
+{
+  SimUser *u = sim_submit (sim, sim_spec (number, MH_SHAPE_SERVICE, tasks, 1), 0);
+  WAIT (sim, 60, all_run, u);
+  return u;
+}
+
+static void
+finish (Sim *sim)
+{
+  sim_assert_rules (sim);
+  sim_free (sim);
+}
+
+/* ---- an ordinary life ---- */
+
+static void
+test_array (void)
+{
+  Sim *sim = sim_new (1);
+  SimUser *u = sim_submit (sim, sim_spec (1, MH_SHAPE_ARRAY, 10, 1), 3);
+  MhUserAnswer a;
+  WAIT (sim, 60, told_done, u);
+  g_assert_cmpuint (u->job->n_done, ==, 10);
+  /* For ever after, from every controller, also for a repeated submission. */
+  sim_run (sim, 120);
+  for (guint i = 0; i < SIM_NODES; i++)
+    {
+      g_assert_cmpuint (sim_ask (sim, i, MH_USER_STATUS, "j-000001", NULL, &a), ==, 200);
+      g_assert_cmpint (a.state, ==, MH_JOB_DONE);
+      g_assert_cmpuint (
+          sim_ask (sim, i, MH_USER_SUBMIT, "j-000001", sim_spec (1, MH_SHAPE_ARRAY, 10, 1), &a), ==,
+          200);
+      g_assert_cmpint (a.state, ==, MH_JOB_DONE);
+      g_assert_cmpuint (sim_ask (sim, i, MH_USER_WITHDRAW, "j-000001", NULL, &a), ==, 200);
+      g_assert_cmpint (a.state, ==, MH_JOB_DONE);
+      g_assert_cmpuint (sim_ask (sim, i, MH_USER_STATUS, "j-777777", NULL, &a), ==, 404);
+    }
+  /* Nothing idle is kept, and nothing is left of the job but its final record. */
+  guint live = 0;
+  for (guint i = 0; i < sim->world->machines->len; i++)
+    live += !((WorldMachine *)g_ptr_array_index (sim->world->machines, i))->gone;
+  g_assert_cmpuint (live, ==, 0);
+  g_assert_null (g_tree_lookup (sim->world->keys, "j/j-000001"));
+  g_assert_nonnull (g_tree_lookup (sim->world->keys, "f/j-000001"));
+  finish (sim);
+}
+
+/* More tasks than one record holds: all of them are written, reloaded and dropped again. */
+static void
+test_chunks (void)
+{
+  Sim *sim = sim_new (2);
+  sim->world->capacity = 6;
+  MhJobSpec *s = sim_spec (1, MH_SHAPE_ARRAY, 200, 0.05);
+  s->mem_gb = 0.1;
+  SimUser *u = sim_submit (sim, s, 30);
+  WAIT (sim, 60, all_run, u);
+  g_assert_nonnull (g_tree_lookup (sim->world->keys, "t/j-000001/00003"));
+  sim_stop_node (sim, sim_leader (sim)->index);
+  WAIT (sim, 90, told_done, u);
+  sim_run (sim, 10);
+  g_assert_null (g_tree_lookup (sim->world->keys, "t/j-000001/00001"));
+  g_assert_null (g_tree_lookup (sim->world->keys, "t/j-000001/00003"));
+  g_assert_cmpuint (sim->world->starts, ==, 200);
+  finish (sim);
+}
+
+static void
+test_refusals (void)
+{
+  Sim *sim = sim_new (3);
+  MhUserAnswer a;
+  sim_run (sim, 5);
+  MhJobSpec *s = sim_spec (1, MH_SHAPE_ARRAY, 1, 1);
+  g_free (s->team);
+  s->team = g_strdup ("nobody");
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000001", s, &a), ==, 422);
+  s = sim_spec (2, MH_SHAPE_SERVICE, 17, 1); /* a service counts whole: 17 of 16 cpus */
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000002", s, &a), ==, 422);
+  s = sim_spec (3, MH_SHAPE_ARRAY, 1, 1);
+  s->zone = g_strdup ("nowhere");
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000003", s, &a), ==, 422);
+  s = sim_spec (4, MH_SHAPE_ARRAY, 1, 1);
+  s->mem_gb = 65;
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000004", s, &a), ==, 422);
+  s = sim_spec (5, MH_SHAPE_ARRAY, 17, 1); /* an array counts by the task */
+  world_job (sim->world, sim_spec (5, MH_SHAPE_ARRAY, 17, 1), MH_SECOND_US);
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000005", s, &a), ==, 201);
+  finish (sim);
+}
+
+/* Types unknown: not decided yet, and nothing is held back. */
+static void
+test_types_unknown (void)
+{
+  Sim *sim = sim_new (4);
+  MhUserAnswer a;
+  sim->world->cloud_outage_until_us = G_MAXINT64;
+  WAIT (sim, 10, has_leader, NULL);
+  sim_run (sim, 2);
+  g_assert_cmpuint (sim_ask (sim, sim_leader (sim)->index, MH_USER_SUBMIT, "j-000001",
+                             sim_spec (1, MH_SHAPE_ARRAY, 1, 1), &a),
+                    ==, 503);
+  g_assert_cmpuint (a.retry_after_s, >, 0);
+  finish (sim);
+}
+
+/* ---- proofs ---- */
+
+/* A hung machine may go on: its tasks run elsewhere only when it is confirmed released. */
+static void
+test_hung_machine (void)
+{
+  Sim *sim = sim_new (5);
+  SimUser *u = running_service (sim, 1, 1);
+  WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
+  m->hung_until_us = sim->now_us + 300 * MH_SECOND_US;
+  sim->world->cloud_outage_until_us = sim->now_us + 30 * MH_SECOND_US;
+  sim_run (sim, 25);
+  g_assert_cmpuint (sim->world->starts, ==, 1); /* no proof, no start */
+  WAIT (sim, 60, is_gone, m);
+  WAIT (sim, 60, all_run, u);
+  g_assert_cmpuint (sim->world->starts, ==, 2);
+  finish (sim);
+}
+
+/* A new leader knows nothing of a machine that hangs but its name in a record. */
+static void
+test_hung_machine_new_leader (void)
+{
+  Sim *sim = sim_new (6);
+  SimUser *u = running_service (sim, 1, 1);
+  WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
+  m->hung_until_us = sim->now_us + 300 * MH_SECOND_US;
+  sim_stop_node (sim, sim_leader (sim)->index);
+  sim_run (sim, 10);
+  g_assert_cmpuint (sim->world->starts, ==, 1);
+  WAIT (sim, 90, is_gone, m);
+  WAIT (sim, 60, all_run, u);
+  finish (sim);
+}
+
+/* An unanswered command is carried out late: the attempt must not have been cleared or moved. */
+static void
+test_late_command (void)
+{
+  Sim *sim = sim_new (7);
+  running_service (sim, 1, 1); /* a machine that is up */
+  sim->hold_commands = true;
+  SimUser *u = sim_submit (sim, sim_spec (3, MH_SHAPE_ARRAY, 1, 1), 1);
+  /* The start comes with a report's response, the task ends, and the direct start is still on its
+     way. Until a new epoch fences it the ended attempt stays on the machine. */
+  WAIT (sim, 30, told_done, u);
+  guint starts = sim->world->starts;
+  sim_release_commands (sim);
+  sim_run (sim, 20);
+  g_assert_cmpuint (sim->world->starts, ==, starts);
+  finish (sim);
+}
+
+static void
+test_late_command_is_fenced (void)
+{
+  Sim *sim = sim_new (8);
+  running_service (sim, 1, 1);
+  sim->hold_commands = true;
+  SimUser *u = sim_submit (sim, sim_spec (3, MH_SHAPE_ARRAY, 1, 1), 1);
+  WAIT (sim, 30, told_done, u);
+  sim_run (sim, 40);
+  g_assert_true (sim_logged (sim, "epoch raised"));
+  guint starts = sim->world->starts;
+  sim_release_commands (sim); /* now the attempt is cleared, and the command too old */
+  sim_run (sim, 10);
+  g_assert_cmpuint (sim->world->starts, ==, starts);
+  finish (sim);
+}
+
+/* A cancellation meets a start that is still in flight. */
+static void
+test_cancel_in_flight (void)
+{
+  Sim *sim = sim_new (9);
+  running_service (sim, 1, 1);
+  sim->hold_commands = true;
+  SimUser *u = sim_submit (sim, sim_spec (3, MH_SHAPE_SERVICE, 1, 1), 0);
+  WAIT (sim, 10, accepted, u);
+  sim_withdraw (u);
+  WAIT (sim, 10, told_cancelled, u);
+  sim_run (sim, 1);
+  sim_release_commands (sim);
+  sim_run (sim, 60);
+  g_assert_cmpuint (world_running (sim->world, "j-000003"), ==, 0);
+  finish (sim);
+}
+
+/* Silence frees no quota: what an unreachable machine may still run counts. */
+static void
+test_quota_unreachable (void)
+{
+  Sim *sim = sim_new (10);
+  SimUser *u = running_service (sim, 1, 4);
+  WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
+  g_assert_cmpuint (world_running (sim->world, "j-000001"), ==, 4);
+  sim->world->cloud_outage_until_us = sim->now_us + 40 * MH_SECOND_US; /* no release, no proof */
+  m->hung_until_us = sim->now_us + 200 * MH_SECOND_US;
+  sim_submit (sim, sim_spec (3, MH_SHAPE_ARRAY, 16, 1), 200);
+  sim_run (sim, 100);
+  sim_withdraw (u);
+  sim_run (sim, 60);
+  finish (sim);
+}
+
+/* A worker whose lease ran out has a new tenure: proof by itself. */
+static void
+test_new_tenure (void)
+{
+  Sim *sim = sim_new (11);
+  SimUser *u = running_service (sim, 1, 1);
+  WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
+  g_array_set_size (m->tasks, 0);
+  m->tenure++;
+  m->tick = 0;
+  WAIT (sim, 20, all_run, u);
+  g_assert_cmpuint (sim->world->starts, ==, 2);
+  finish (sim);
+}
+
+/* ---- leadership ---- */
+
+static void
+test_leader_crash (void)
+{
+  Sim *sim = sim_new (12);
+  SimUser *u = running_service (sim, 1, 3), *array;
+  array = sim_submit (sim, sim_spec (2, MH_SHAPE_ARRAY, 8, 1), 6);
+  WAIT (sim, 30, accepted, array);
+  guint old = sim_leader (sim)->index;
+  sim_stop_node (sim, old);
+  WAIT (sim, 10, has_leader, NULL);
+  g_assert_cmpuint (sim_leader (sim)->index, !=, old);
+  WAIT (sim, 90, told_done, array);
+  WAIT (sim, 10, all_run, u);
+  g_assert_cmpuint (sim->world->starts, ==, 3 + 8); /* nothing ran again */
+  finish (sim);
+}
+
+/* All of them, in the middle of everything, and back within a moment. */
+static void
+test_all_crash (void)
+{
+  Sim *sim = sim_new (13);
+  SimUser *u = sim_submit (sim, sim_spec (2, MH_SHAPE_ARRAY, 14, 1), 8);
+  WAIT (sim, 30, accepted, u);
+  for (guint round = 0; round < 4; round++)
+    {
+      sim_run (sim, 4);
+      for (guint i = 0; i < SIM_NODES; i++)
+        sim_stop_node (sim, i);
+      sim_run (sim, 0.2);
+      for (guint i = 0; i < SIM_NODES; i++)
+        sim_start_node (sim, i);
+    }
+  WAIT (sim, 120, told_done, u);
+  finish (sim);
+}
+
+/* The leader loses the state service alone: it stops ordering, hears from its peers who leads, and
+   hands the workers over; nothing that runs is lost. */
+static void
+test_leader_cut_from_state (void)
+{
+  Sim *sim = sim_new (14);
+  SimUser *u = running_service (sim, 1, 4);
+  SimNode *old = sim_leader (sim);
+  old->state_cut_us = sim->now_us + 60 * MH_SECOND_US;
+  sim_run (sim, 4);
+  g_assert_true (sim_leader (sim) != old);
+  sim_run (sim, 60);
+  g_assert_cmpuint (sim->world->starts, ==, 4);
+  g_assert_cmpuint (world_running (sim->world, u->job->spec->id), ==, 4);
+  finish (sim);
+}
+
+/* The same, and the peers cannot hear one another either: the old leader holds the workers for a
+   while. The new one must not give their machines back, nor restart anything. */
+static void
+test_leader_cut_and_deaf (void)
+{
+  Sim *sim = sim_new (15);
+  running_service (sim, 1, 4);
+  running_service (sim, 2, 4);
+  running_service (sim, 3, 4);
+  running_service (sim, 4, 4);
+  SimNode *old = sim_leader (sim);
+  old->state_cut_us = old->peers_cut_us = sim->now_us + 25 * MH_SECOND_US;
+  sim_run (sim, 60);
+  for (guint i = 1; i <= 4; i++)
+    {
+      g_autofree char *job = g_strdup_printf ("j-%06u", i);
+      g_assert_cmpuint (world_running (sim->world, job), ==, 4);
+    }
+  finish (sim);
+}
+
+/* Replicas survive an outage of the state service that is longer than the workers' lease. */
+static void
+test_state_outage (void)
+{
+  Sim *sim = sim_new (16);
+  MhUserAnswer a;
+  SimUser *u = running_service (sim, 1, 3);
+  SimNode *leader = sim_leader (sim);
+  sim->world->outage_until_us = sim->now_us + 18 * MH_SECOND_US;
+  sim_run (sim, 5);
+  /* What cannot be written is answered at once. */
+  gint64 asked = sim->now_us;
+  g_assert_cmpuint (sim_ask (sim, leader->index, MH_USER_SUBMIT, "j-000009",
+                             sim_spec (9, MH_SHAPE_ARRAY, 1, 1), &a),
+                    ==, 503);
+  g_assert_cmpint (sim->now_us - asked, <, MH_SECOND_US);
+  sim_run (sim, 30);
+  g_assert_cmpuint (sim->world->starts, ==, 3);
+  g_assert_cmpuint (world_running (sim->world, u->job->spec->id), ==, 3);
+  g_assert_true (sim_leader (sim) == leader); /* its lease had its full time again */
+  finish (sim);
+}
+
+/* A job cancelled by the new leader while the old one keeps workers alive is gone in time. */
+static void
+test_cancel_behind_old_leader (void)
+{
+  Sim *sim = sim_new (17);
+  SimUser *u = running_service (sim, 1, 2);
+  SimNode *old = sim_leader (sim);
+  old->state_cut_us = old->peers_cut_us = sim->now_us + 200 * MH_SECOND_US;
+  sim_run (sim, 3);
+  sim_withdraw (u);
+  WAIT (sim, 20, told_cancelled, u);
+  sim_run (sim, 60); /* the world checks cancel_s */
+  g_assert_cmpuint (world_running (sim->world, "j-000001"), ==, 0);
+  finish (sim);
+}
+
+/* ---- troubles of tasks and machines ---- */
+
+static void
+test_sick_machine (void)
+{
+  Sim *sim = sim_new (18);
+  running_service (sim, 1, 1);
+  WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
+  m->sick = true;
+  SimUser *a = sim_submit (sim, sim_spec (2, MH_SHAPE_ARRAY, 2, 1), 3);
+  SimUser *b = sim_submit (sim, sim_spec (4, MH_SHAPE_ARRAY, 2, 1), 3);
+  WAIT (sim, 120, told_done, a);
+  WAIT (sim, 120, told_done, b);
+  g_assert_true (m->gone);
+  finish (sim);
+}
+
+/* The zones of a service of several tasks stay within MaxSkew of one another. */
+static void
+test_spread (void)
+{
+  Sim *sim = sim_new (19);
+  for (guint i = 0; i < 2; i++)
+    world_add_machine (sim->world, "large", i ? "b" : "a", false);
+  sim_run (sim, 15);
+  running_service (sim, 1, 7);
+  guint in_a = 0, in_b = 0;
+  for (guint i = 0; i < sim->world->machines->len; i++)
+    {
+      const WorldMachine *m = g_ptr_array_index (sim->world->machines, i);
+      *(strcmp (m->zone, "a") == 0 ? &in_a : &in_b) += m->tasks->len;
+    }
+  g_assert_cmpuint (MAX (in_a, in_b) - MIN (in_a, in_b), ==, 1);
+  finish (sim);
+}
+
+/* A team gets its guarantee back from one that borrows. */
+static void
+test_guarantee (void)
+{
+  Sim *sim = sim_new (20);
+  sim->world->capacity = 1;
+  world_add_machine (sim->world, "large", "a", false);
+  SimUser *borrows = sim_submit (sim, sim_spec (1, MH_SHAPE_ARRAY, 16, 1), 60);
+  WAIT (sim, 30, all_run, borrows);
+  SimUser *u = sim_submit (sim, sim_spec (2, MH_SHAPE_ARRAY, 8, 1), 5);
+  WAIT (sim, 6, all_run, u);
+  g_assert_cmpuint (world_running (sim->world, "j-000001"), ==, 8);
+  finish (sim);
+}
+
+/* Urgent work beyond its guarantee and normal work within one must not stop each other in turn. */
+static void
+test_no_preemption_cycle (void)
+{
+  Sim *sim = sim_new (21);
+  sim->world->capacity = 1;
+  world_add_machine (sim->world, "large", "a", false);
+  for (guint i = 0; i < 5; i++)
+    {
+      MhJobSpec *s = sim_spec (1 + 2 * i, MH_SHAPE_SERVICE, 3, 1);
+      sim_submit (sim, s, 0);
+    }
+  sim_run (sim, 20);
+  sim_submit (sim, sim_spec (2, MH_SHAPE_ARRAY, 2, 4), 30);
+  sim_run (sim, 60);
+  guint stops = 0;
+  for (guint i = 0; i < sim->log->len; i++)
+    stops += strstr (g_ptr_array_index (sim->log, i), "to make room") != NULL;
+  g_assert_cmpuint (stops, <=, 15);
+  finish (sim);
+}
+
+/* A follower once woke every 10 ms, which on such a small share of a core is dear. */
+static void
+test_idle_followers_sleep (void)
+{
+  Sim *sim = sim_new (22);
+  sim_run (sim, 10);
+  const SimNode *leader = sim_leader (sim);
+  for (guint i = 0; i < SIM_NODES; i++)
+    if (&sim->nodes[i] != leader)
+      {
+        guint before = sim->nodes[i].wakes;
+        sim_run (sim, 10);
+        g_assert_cmpuint (sim->nodes[i].wakes - before, <, 60);
+      }
+  finish (sim);
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
-  return 0;
+  g_test_init (&argc, &argv, NULL);
+#define ADD(name, func) g_test_add_func ("/core/" name, func)
+  ADD ("array", test_array);
+  ADD ("chunks", test_chunks);
+  ADD ("refusals", test_refusals);
+  ADD ("types-unknown", test_types_unknown);
+  ADD ("hung-machine", test_hung_machine);
+  ADD ("hung-machine-new-leader", test_hung_machine_new_leader);
+  ADD ("late-command", test_late_command);
+  ADD ("late-command-fenced", test_late_command_is_fenced);
+  ADD ("cancel-in-flight", test_cancel_in_flight);
+  ADD ("quota-unreachable", test_quota_unreachable);
+  ADD ("new-tenure", test_new_tenure);
+  ADD ("leader-crash", test_leader_crash);
+  ADD ("all-crash", test_all_crash);
+  ADD ("leader-cut-from-state", test_leader_cut_from_state);
+  ADD ("leader-cut-and-deaf", test_leader_cut_and_deaf);
+  ADD ("state-outage", test_state_outage);
+  ADD ("cancel-behind-old-leader", test_cancel_behind_old_leader);
+  ADD ("sick-machine", test_sick_machine);
+  ADD ("spread", test_spread);
+  ADD ("guarantee", test_guarantee);
+  ADD ("no-preemption-cycle", test_no_preemption_cycle);
+  ADD ("idle-followers-sleep", test_idle_followers_sleep);
+  return g_test_run ();
 }
