Walk machines by the wait for the image and its cost; services take room where it is

Cause: services were placed on free room without their image and waited 20 to 60 s for it. Ruled out: placing itself (0.1 s).

--- a/src/core-private.h
+++ b/src/core-private.h
@@ -225,6 +225,8 @@
 mh_fleet_silent (const MhCore *core, const MhMachine *machine, gint64 for_us);
 bool
 mh_fleet_cached (const MhMachine *machine, const char *image);
+gint64
+mh_fleet_image_wait (const MhCore *core, const MhMachine *machine, const char *image, double gb);
 void
 mh_fleet_clear (MhCore *core);
 void
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -147,6 +147,36 @@
   return false;
 }
 
+/* How long a task with this image would wait for it here: nothing if it is cached, the rest of the
+   fetch if one is under way, else a fetch beside those that are, which may share the rate. */
+gint64
+mh_fleet_image_wait (const MhCore *core, const MhMachine *m, const char *image, double gb)
+{
+  if (mh_fleet_cached (m, image))
+    return 0;
+  double rate = m->type && m->type->fetch_gb_per_s > 0 ? m->type->fetch_gb_per_s : 1, others = 0;
+  for (guint i = 0; i < m->attempts->len; i++)
+    {
+      const MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      const MhJobSpec *s = a->job->spec;
+      if (a->kill || a->phase != MH_TASK_FETCHING || mh_fleet_cached (m, s->image))
+        continue;
+      double left
+          = MAX (s->image_gb - (double)(core->now.mono_us - a->placed_us) / MH_SECOND_US * rate,
+                 s->image_gb * 0.1);
+      if (strcmp (s->image, image) == 0)
+        return (gint64)(left / rate * MH_SECOND_US);
+      bool counted = false;
+      for (guint k = 0; k < i && !counted; k++)
+        counted
+            = strcmp (((MhAttempt *)g_ptr_array_index (m->attempts, k))->job->spec->image, s->image)
+              == 0;
+      if (!counted)
+        others += left;
+    }
+  return (gint64)((others + gb) / rate * MH_SECOND_US);
+}
+
 /* Machines keep the most recently used images; this is our own account of it. */
 void
 mh_fleet_cache (MhMachine *m, const char *image, double gb)
@@ -242,12 +272,15 @@
 }
 
 static void
-set_running (MhAttempt *a, bool running, gint64 now_us)
+set_running (MhCore *core, MhAttempt *a, bool running)
 {
+  gint64 now_us = core->now.mono_us;
   if (running && a->running_us == 0)
     {
       a->running_us = now_us;
       a->job->n_running++;
+      mh_debug (core, "task %s/%u: runs on %s, %.1f s after it was submitted", a->job->spec->id,
+                a->index, a->machine->name, (double)(now_us - a->job->submitted_us) / MH_SECOND_US);
     }
   else if (!running && a->running_us)
     {
@@ -262,7 +295,7 @@
   MhJob *job = a->job;
   MhMachine *m = a->machine;
   MhTask *t = &job->tasks[a->index];
-  set_running (a, false, 0);
+  set_running (core, a, false);
   account (core, a, -1);
   g_ptr_array_remove_fast (m->attempts, a);
   if (m->attempts->len == 0)
@@ -439,8 +472,9 @@
     {
       a->seen = a->present = true;
       a->phase = t->phase;
-      set_running (a, t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING, core->now.mono_us);
-      mh_fleet_cache (m, job->spec->image, job->spec->image_gb);
+      set_running (core, a, t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING);
+      if (t->phase != MH_TASK_FETCHING)
+        mh_fleet_cache (m, job->spec->image, job->spec->image_gb);
       if (t->phase != MH_TASK_ENDED)
         return;
       attempt_ended (core, a, t->cause);
--- a/src/place.c
+++ b/src/place.c
@@ -198,9 +198,10 @@
 typedef struct
 {
   MhMachine *machine;
-  guint zone; /* index into the counted zones */
-  bool cached;
-  gint score;
+  guint zone;     /* index into the counted zones */
+  gint64 wait_us; /* for the image */
+  gint score;     /* of the soft spread */
+  double cost;
 } Candidate;
 
 typedef struct
@@ -236,25 +237,32 @@
          && s->mem_gb <= m->type->mem_gb - m->used_mem - m->promised_mem + EPSILON;
 }
 
-/* The documented order: the soft score; machines that have the image; spot machines (only work that
-   may be interrupted comes to them); the cheapest by the cpu; the fullest, so that others fall
-   empty; the name. */
 static double
 unit_price (const MhMachine *m)
 {
   return (m->spot ? m->type->spot_price : m->type->price) / MAX (m->type->cpus, 1e-3);
 }
 
+/* What a cpu of the machine costs while the task waits for its image and runs; for a service, which
+   is waited for, the waiting alone, in steps of a second. */
+static double
+walk_cost (const MhJobSpec *s, const Candidate *c)
+{
+  if (s->shape == MH_SHAPE_SERVICE)
+    return (double)(c->wait_us / MH_SECOND_US);
+  return unit_price (c->machine) * (double)(c->wait_us + s->estimate_us + MH_SECOND_US);
+}
+
+/* The documented order: the soft score; the cost as above; the cheapest by the cpu; the fullest, so
+   that others fall empty; the name. */
 static gint
 by_walk (gconstpointer a, gconstpointer b)
 {
   const Candidate *x = a, *y = b;
   if (x->score != y->score)
     return x->score < y->score ? -1 : 1;
-  if (x->cached != y->cached)
-    return x->cached ? -1 : 1;
-  if (x->machine->spot != y->machine->spot)
-    return x->machine->spot ? -1 : 1;
+  if (x->cost != y->cost)
+    return x->cost < y->cost ? -1 : 1;
   double px = unit_price (x->machine), py = unit_price (y->machine);
   if (px != py)
     return px < py ? -1 : 1;
@@ -325,7 +333,10 @@
       guint zone = zone_index (p->zones, m->zone);
       if (!usable (core, m) || !mh_place_kind_fits (p->job, m->type, m->zone, m->spot))
         continue;
-      Candidate c = { .machine = m, .zone = zone, .cached = mh_fleet_cached (m, s->image) };
+      Candidate c = { .machine = m,
+                      .zone = zone,
+                      .wait_us = mh_fleet_image_wait (core, m, s->image, s->image_gb) };
+      c.cost = walk_cost (s, &c);
       g_array_append_val (p->candidates, c);
       if (has_room (m, s))
         g_array_index (p->zones, MhZoneCount, zone).feasible = true;
@@ -377,7 +388,7 @@
   a->need_rev = r->rev;
   g_array_index (p->zones, MhZoneCount, c->zone).count++;
   mh_debug (p->core, "task %s/%u: attempt %u on %s (%s%s)", p->job->spec->id, p->task, a->attempt,
-            c->machine->name, c->machine->zone, c->cached ? ", image there" : "");
+            c->machine->name, c->machine->zone, c->wait_us ? "" : ", image there");
 }
 
 static Candidate *
@@ -450,9 +461,10 @@
   m->promised_mem += s->mem_gb;
 }
 
-/* Makes room for one task, or finds that it is being made. */
+/* Makes room for one task, or finds that it is being made, where its image comes within `wait_us`.
+ */
 static bool
-preempt (Placing *p)
+preempt (Placing *p, gint64 wait_us)
 {
   const MhJobSpec *s = p->job->spec;
   MhMachine *best = NULL;
@@ -465,7 +477,7 @@
       Candidate *c = &g_array_index (p->candidates, Candidate, i);
       MhMachine *m = c->machine;
       double cpus, mem;
-      if (!zone_allows (p, c->zone))
+      if (!zone_allows (p, c->zone) || c->wait_us > wait_us)
         continue;
       doomed_room (m, &cpus, &mem);
       if (room_after (m, s, cpus, mem))
@@ -479,7 +491,7 @@
           g_ptr_array_add (able, g_ptr_array_index (m->attempts, j));
       g_ptr_array_sort (able, by_loss);
       g_autoptr (GPtrArray) victims = g_ptr_array_new ();
-      double loss = c->cached ? 0 : 5;
+      double loss = (double)c->wait_us / MH_SECOND_US;
       for (guint j = 0; j < able->len && !room_after (m, s, cpus, mem); j++)
         {
           MhAttempt *a = g_ptr_array_index (able, j);
@@ -524,6 +536,24 @@
   return true;
 }
 
+/* How long a start of the job may still take, by the aims that hold for it; without one, and once
+   it is late, there is no hurry. */
+static gint64
+patience_of (const MhCore *core, const MhJob *job)
+{
+  gint64 waited = core->now.mono_us - job->submitted_us, least = 60 * MH_SECOND_US;
+  for (guint i = 0; i < core->settings->objectives->len; i++)
+    {
+      const MhObjective *o = g_ptr_array_index (core->settings->objectives, i);
+      bool holds = o->kind == MH_OBJECTIVE_WAIT
+                       ? g_strcmp0 (o->class_name, job->spec->class_name) == 0
+                       : o->kind == MH_OBJECTIVE_GUARANTEE && job->guaranteed;
+      if (holds && waited < o->within_us)
+        least = MIN (least, o->within_us - waited);
+    }
+  return least;
+}
+
 static void
 place_job (MhCore *core, MhJob *job, guint *starts, guint *preemptions)
 {
@@ -542,6 +572,7 @@
   prepare (&p);
   count_zones (&p);
   rank (&p);
+  gint64 patience = patience_of (core, job);
   while (next_pending (&p) && *starts < STARTS_PER_PASS)
     {
       job->cursor = p.task;
@@ -550,19 +581,33 @@
       Candidate *c = first_fit (&p);
       if (c == NULL)
         break;
+      /* A service that would come too late by its image rather takes the room of lesser work where
+         the image is. */
+      if (s->shape == MH_SHAPE_SERVICE && c->wait_us > patience && core->leader.rebuilt
+          && *preemptions < PREEMPTIONS_PER_PASS && preempt (&p, MAX (patience, 0)))
+        {
+          (*preemptions)++;
+          p.task++;
+          continue;
+        }
       start (&p, c);
       (*starts)++;
       if (p.spread && p.soft)
         rank (&p);
     }
-  /* Machines that have not reported yet may have room. */
+  /* Machines that have not reported yet may have room; running tasks end by themselves. */
   if (!core->leader.rebuilt || (tier (job) == 3 && s->priority <= MH_PRIORITY_LOW))
     return;
+  if (s->shape != MH_SHAPE_SERVICE && core->now.mono_us - job->wanted_us < patience / 3)
+    {
+      mh_core_wake_at (core, job->wanted_us + patience / 3);
+      return;
+    }
   double cpus = 0;
   for (guint n = mh_job_pending (job); n > 0 && *preemptions < PREEMPTIONS_PER_PASS; n--)
     {
       cpus += s->cpus;
-      if (!mh_place_quota_fits (core, job, cpus, 0) || !preempt (&p))
+      if (!mh_place_quota_fits (core, job, cpus, 0) || !preempt (&p, G_MAXINT64))
         return;
       (*preemptions)++;
     }
