--- a/src/place.c
+++ b/src/place.c
@@ -542,15 +542,19 @@
 patience_of (const MhCore *core, const MhJob *job)
 {
   gint64 waited = core->now.mono_us - job->submitted_us, least = 60 * MH_SECOND_US;
+  bool promised = false;
   for (guint i = 0; i < core->settings->objectives->len; i++)
     {
       const MhObjective *o = g_ptr_array_index (core->settings->objectives, i);
       bool holds = o->kind == MH_OBJECTIVE_WAIT
                        ? g_strcmp0 (o->class_name, job->spec->class_name) == 0
                        : o->kind == MH_OBJECTIVE_GUARANTEE && job->guaranteed;
+      promised |= o->kind == MH_OBJECTIVE_GUARANTEE;
       if (holds && waited < o->within_us)
         least = MIN (least, o->within_us - waited);
     }
+  if (job->guaranteed && !promised)
+    least = MIN (least, 3 * MH_SECOND_US);
   return least;
 }
 
