--- a/src/scale.c
+++ b/src/scale.c
@@ -260,7 +260,9 @@
               continue;
             double slots = MIN (s->cpus > 0 ? t->cpus / s->cpus : n,
                                 s->mem_gb > 0 ? t->mem_gb / s->mem_gb : n);
-            slots = MAX (1, MIN ((double)(guint)(slots + 1e-6), n));
+            slots = (double)(guint)(slots + 1e-6);
+            /* More of the kind will come: half a machine counts as filled sooner or later. */
+            slots = MAX (1, MIN (slots, MAX (n, slots / 2)));
             double cost = (spot ? t->spot_price * SPOT_RISK : t->price) / slots;
             guint load = machines_in_zone (core, virtuals, *zone);
             if (cost < best - 1e-9 || (cost < best + 1e-9 && load < best_load))
