--- a/src/core-private.h
+++ b/src/core-private.h
@@ -192,6 +192,7 @@
   const MhMachineType *type;
   bool spot;
   bool reported;  /* to this leader */
+  bool draining;  /* takes nothing new; what it holds is moved */
   bool releasing; /* decided; holds until it is confirmed */
   bool release_sent;
   bool gone;       /* confirmed released */
--- a/src/place.c
+++ b/src/place.c
@@ -218,7 +218,7 @@
 static bool
 usable (const MhCore *core, const MhMachine *m)
 {
-  return m->reported && m->type && !m->releasing && !m->gone && m->notice_until_us < 0
+  return m->reported && m->type && !m->releasing && !m->draining && !m->gone && m->notice_until_us < 0
          && core->now.mono_us >= m->hold_us
          && !mh_fleet_silent (core, m, core->settings->report_us * 5 / 2);
 }
--- a/src/scale.c
+++ b/src/scale.c
@@ -11,6 +11,11 @@
 /* A machine that is deleted costs at least this. */
 #define LEAST_PAID_US (60 * MH_SECOND_US)
 #define TELL_US (10 * MH_SECOND_US)
+/* A machine is emptied when no more of it is in use, and the others would not be fuller than this.
+   Replicas younger than this are left alone: a start that is undone at once is none. */
+#define EMPTY_ENOUGH 0.5
+#define FULLEST 0.85
+#define SETTLED_US (35 * MH_SECOND_US)
 #define RENT_MOST 50u
 #define RELEASE_MOST 100u
 #define TASKS_LOOKED_AT 600u
@@ -177,13 +182,125 @@
       MhMachine *m = value;
       if (!m->reported || m->gone || m->releasing || m->attempts->len)
         continue;
-      if (m->notice_until_us >= 0)
-        mh_scale_release (core, m, "empty, and to be taken back");
+      if (m->notice_until_us >= 0 || m->draining)
+        mh_scale_release (core, m, "empty, as was wanted");
       else if (now - m->idle_us > core->settings->idle_us && now - m->rented_us > LEAST_PAID_US)
         mh_scale_release (core, m, "idle");
     }
 }
 
+/* ---- emptying machines that do little ---- */
+
+static bool
+steady (const MhMachine *m)
+{
+  return m->reported && !m->gone && !m->releasing && m->type && m->notice_until_us < 0;
+}
+
+/* Room on the machines that stay. */
+typedef struct
+{
+  const MhMachine *machine;
+  double cpus, gpus, mem;
+} Room;
+
+static bool
+fits_elsewhere (MhCore *core, const MhMachine *m)
+{
+  g_autoptr (GArray) rooms = g_array_new (FALSE, FALSE, sizeof (Room));
+  double all = 0, used = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const MhMachine *o = value;
+      if (o == m || !steady (o) || o->draining
+          || mh_fleet_silent (core, o, core->settings->report_us * 2))
+        continue;
+      all += o->type->cpus;
+      used += o->used_cpus;
+      Room r = { .machine = o,
+                 .cpus = o->type->cpus - o->used_cpus,
+                 .gpus = o->type->gpus - o->used_gpus,
+                 .mem = o->type->mem_gb - o->used_mem };
+      g_array_append_val (rooms, r);
+    }
+  if (used + m->used_cpus > all * FULLEST)
+    return false;
+  for (guint i = 0; i < m->attempts->len; i++)
+    {
+      const MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      const MhJobSpec *s = a->job->spec;
+      if (s->shape != MH_SHAPE_SERVICE)
+        continue; /* it ends by itself */
+      Room *to = NULL;
+      for (guint k = 0; k < rooms->len && to == NULL; k++)
+        {
+          Room *r = &g_array_index (rooms, Room, k);
+          if (mh_place_kind_fits (a->job, r->machine->type, r->machine->zone, r->machine->spot)
+              && r->cpus + 1e-6 >= s->cpus && r->gpus + 1e-6 >= s->gpus && r->mem + 1e-6 >= s->mem_gb
+              && mh_fleet_cached (r->machine, s->image))
+            to = r;
+        }
+      /* Several tasks of one service are spread; moving them is not worth a second look. */
+      if (to == NULL || s->tasks > 1
+          || (a->running_us == 0
+              || core->now.mono_us - a->running_us < SETTLED_US))
+        return false;
+      to->cpus -= s->cpus;
+      to->gpus -= s->gpus;
+      to->mem -= s->mem_gb;
+    }
+  return true;
+}
+
+/* A machine that holds a few replicas long after the work it was rented for costs as much as a full
+   one. Its replicas are moved to where their image is, which takes a moment, and it is given back.
+   One machine at a time, and only while nothing waits. */
+static void
+consolidate (MhCore *core, guint waiting)
+{
+  MhMachine *best = NULL;
+  double best_use = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      MhMachine *m = value;
+      if (m->draining && (waiting || !fits_elsewhere (core, m)))
+        m->draining = false;
+      if (!steady (m) || m->attempts->len == 0)
+        continue;
+      double price = m->spot ? m->type->spot_price : m->type->price;
+      double use = m->used_cpus / MAX (price, 1e-6);
+      if (m->draining)
+        {
+          best = m;
+          break;
+        }
+      if (m->used_cpus > m->type->cpus * EMPTY_ENOUGH
+          || core->now.mono_us - m->rented_us < LEAST_PAID_US || (best && use >= best_use)
+          || !fits_elsewhere (core, m))
+        continue;
+      best = m;
+      best_use = use;
+    }
+  if (best == NULL || waiting)
+    return;
+  if (!best->draining)
+    mh_info (core, "machine %s: being emptied: %.0f of %.0f cpus in use", best->name,
+             best->used_cpus, best->type->cpus);
+  best->draining = true;
+  for (guint i = 0; i < best->attempts->len; i++)
+    if (((MhAttempt *)g_ptr_array_index (best->attempts, i))->job->spec->shape != MH_SHAPE_SERVICE
+        || ((MhAttempt *)g_ptr_array_index (best->attempts, i))->kill)
+      return;
+  MhAttempt *a = g_ptr_array_index (best->attempts, 0);
+  mh_fleet_kill (core, a, a->job->spec->checkpoint_us > 0 ? a->job->spec->save_us : 0);
+}
+
 /* ---- renting ---- */
 
 /* A machine that is coming, or one that would have to be rented. */
@@ -543,12 +660,25 @@
              || core->now.mono_us - core->leader.since_us > core->settings->list_lag_us);
 }
 
+static guint
+tasks_waiting (MhCore *core)
+{
+  guint waiting = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (!mh_job_over (value))
+      waiting += mh_job_pending (value);
+  return waiting;
+}
+
 /* One line for the operator: what is paid for and what it does. */
 static void
 tell_fleet (MhCore *core)
 {
-  guint live = 0, coming = 0, idle = 0, leaving = 0, waiting = 0;
-  double all = 0, used = 0;
+  guint live = 0, coming = 0, idle = 0, leaving = 0;
+  double all = 0, used = 0, hourly = 0;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
@@ -558,6 +688,7 @@
       if (m->gone)
         continue;
       leaving += m->releasing;
+      hourly += m->type ? m->spot ? m->type->spot_price : m->type->price : 0;
       live += m->reported && !m->releasing;
       coming += !m->reported && !m->releasing;
       idle += m->reported && !m->releasing && m->attempts->len == 0;
@@ -567,15 +698,10 @@
           used += m->used_cpus;
         }
     }
-  g_hash_table_iter_init (&it, core->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    if (!mh_job_over (value))
-      waiting += mh_job_pending (value);
-  mh_info (
-      core,
-      "fleet: %u machines (%u idle), %u coming, %u leaving; %.0f of %.0f cpus in use; %u tasks "
-      "waiting",
-      live, idle, coming, leaving, used, all, waiting);
+  mh_info (core,
+           "fleet: %u machines (%u idle), %u coming, %u leaving, %.2f an hour; %.0f of %.0f cpus in "
+           "use; %u tasks waiting",
+           live, idle, coming, leaving, hourly, used, all, tasks_waiting (core));
 }
 
 void
@@ -606,5 +732,7 @@
       plan (core, virtuals);
       rent_wanted (core, virtuals);
     }
+  if (core->leader.rebuilt)
+    consolidate (core, tasks_waiting (core));
   return_idle (core);
 }
