Order jobs by their latest start in time

Cause: jobs with long runs stood behind shorter ones of the same deadline, and fetches were not counted.

--- a/src/core-private.h
+++ b/src/core-private.h
@@ -86,10 +86,10 @@
   GArray *waiters; /* MhWaiter */
   /* placement */
   bool guaranteed;
-  guint errors;     /* failures in a row, on different machines */
-  gint64 retry_us;  /* no start before */
-  gint64 wanted_us; /* pending and unplaced since; 0: not */
-  double sort_key;
+  guint errors;       /* failures in a row, on different machines */
+  gint64 retry_us;    /* no start before */
+  gint64 wanted_us;   /* pending and unplaced since; 0: not */
+  gint64 start_by_us; /* the latest start that is in time */
   gint64 final_us;
 };
 
@@ -291,6 +291,8 @@
 mh_place_bias (MhCore *core, const char *class_name);
 void
 mh_place_learn (MhCore *core, const MhJobSpec *spec, gint64 ran_us);
+gint64
+mh_place_run_us (MhCore *core, const MhJobSpec *spec); /* as far as can be told */
 
 void
 mh_scale_start (MhCore *core);
--- a/src/place.c
+++ b/src/place.c
@@ -83,8 +83,8 @@
     return tier (x) < tier (y) ? -1 : 1;
   if (x->spec->priority != y->spec->priority)
     return x->spec->priority > y->spec->priority ? -1 : 1;
-  if (x->sort_key != y->sort_key)
-    return x->sort_key < y->sort_key ? -1 : 1;
+  if (x->start_by_us != y->start_by_us)
+    return x->start_by_us < y->start_by_us ? -1 : 1;
   return by_submission (a, b);
 }
 
@@ -111,28 +111,50 @@
   stat->ratio += weight * ((double)ran_us / (double)s->estimate_us - stat->ratio);
 }
 
-/* When the job should be over, by its deadline or its class's aim. One that is hopelessly late goes
-   behind those that can still make it. */
-static double
-due (const MhCore *core, const MhJob *job)
+gint64
+mh_place_run_us (MhCore *core, const MhJobSpec *s)
 {
-  gint64 now = core->now.mono_us, at = G_MAXINT64;
-  if (job->spec->deadline_us >= 0)
-    at = job->submitted_us + job->spec->deadline_us;
+  return (gint64)((double)s->estimate_us * mh_place_bias (core, s->class_name));
+}
+
+static gint64
+fetch_us (const MhCore *core, const MhJobSpec *s)
+{
+  for (guint i = 0; core->types && i < core->types->len; i++)
+    {
+      const MhMachineType *t = g_ptr_array_index (core->types, i);
+      if (mh_place_type_fits (s, t) && t->fetch_gb_per_s > 0)
+        return (gint64)(s->image_gb / t->fetch_gb_per_s * MH_SECOND_US);
+    }
+  return 0;
+}
+
+/* When the job's tasks should start at the latest, by its deadline or its class's aims, of which
+   those count that can still be met. A job that can meet none goes behind those that can. */
+static gint64
+start_by (MhCore *core, const MhJob *job)
+{
+  const MhJobSpec *s = job->spec;
+  gint64 now = core->now.mono_us, at = G_MAXINT64, last = 0;
+  gint64 needs = fetch_us (core, s) + mh_place_run_us (core, s);
+  if (s->deadline_us >= 0)
+    at = last = job->submitted_us + s->deadline_us;
   else
     for (guint i = 0; i < core->settings->objectives->len; i++)
       {
         const MhObjective *o = g_ptr_array_index (core->settings->objectives, i);
-        if (o->kind == MH_OBJECTIVE_FINISHED
-            && g_strcmp0 (o->class_name, job->spec->class_name) == 0
-            && job->submitted_us + o->within_us > now)
-          at = MIN (at, job->submitted_us + o->within_us);
+        if (o->kind != MH_OBJECTIVE_FINISHED || g_strcmp0 (o->class_name, s->class_name) != 0)
+          continue;
+        gint64 by = job->submitted_us + o->within_us;
+        last = MAX (last, by);
+        if (by - needs >= now)
+          at = MIN (at, by);
       }
-  if (at == G_MAXINT64)
+  if (last == 0)
     at = job->submitted_us + 600 * MH_SECOND_US;
-  if (at < now)
-    at += MH_HOPELESS_US;
-  return (double)at;
+  else if (at == G_MAXINT64 || at - needs < now)
+    at = MIN (at, last) + MH_HOPELESS_US;
+  return at - needs;
 }
 
 /* A job is within its team's guarantee if it fits into it together with the team's earlier
@@ -185,7 +207,7 @@
         }
       if (job->wanted_us == 0)
         job->wanted_us = core->now.mono_us;
-      job->sort_key = due (core, job);
+      job->start_by_us = start_by (core, job);
       jobs->pdata[kept++] = job;
     }
   g_ptr_array_set_size (jobs, (gint)kept);
@@ -218,8 +240,8 @@
 static bool
 usable (const MhCore *core, const MhMachine *m)
 {
-  return m->reported && m->type && !m->releasing && !m->draining && !m->gone && m->notice_until_us < 0
-         && core->now.mono_us >= m->hold_us
+  return m->reported && m->type && !m->releasing && !m->draining && !m->gone
+         && m->notice_until_us < 0 && core->now.mono_us >= m->hold_us
          && !mh_fleet_silent (core, m, core->settings->report_us * 5 / 2);
 }
 
--- a/src/scale.c
+++ b/src/scale.c
@@ -239,14 +239,13 @@
         {
           Room *r = &g_array_index (rooms, Room, k);
           if (mh_place_kind_fits (a->job, r->machine->type, r->machine->zone, r->machine->spot)
-              && r->cpus + 1e-6 >= s->cpus && r->gpus + 1e-6 >= s->gpus && r->mem + 1e-6 >= s->mem_gb
-              && mh_fleet_cached (r->machine, s->image))
+              && r->cpus + 1e-6 >= s->cpus && r->gpus + 1e-6 >= s->gpus
+              && r->mem + 1e-6 >= s->mem_gb && mh_fleet_cached (r->machine, s->image))
             to = r;
         }
       /* Several tasks of one service are spread; moving them is not worth a second look. */
       if (to == NULL || s->tasks > 1
-          || (a->running_us == 0
-              || core->now.mono_us - a->running_us < SETTLED_US))
+          || (a->running_us == 0 || core->now.mono_us - a->running_us < SETTLED_US))
         return false;
       to->cpus -= s->cpus;
       to->gpus -= s->gpus;
@@ -523,7 +522,7 @@
           const MhJobSpec *s = a->job->spec;
           if (s->shape == MH_SHAPE_SERVICE)
             continue;
-          gint64 whole = (gint64)((double)s->estimate_us * mh_place_bias (core, s->class_name));
+          gint64 whole = mh_place_run_us (core, s);
           gint64 left = whole - (a->running_us ? now - a->running_us : 0);
           /* One that has outrun its estimate goes on for a part of it. */
           Ending e = { .at_us = now + MAX (left, whole / 4), .cpus = s->cpus, .mem = s->mem_gb };
@@ -550,9 +549,9 @@
       if (mh_place_type_fits (s, t))
         soonest = MIN (soonest, t->boot_us);
     }
-  gint64 run = (gint64)((double)s->estimate_us * mh_place_bias (core, s->class_name));
-  gint64 due = (gint64)job->sort_key;
-  gint64 latest = due > now + MH_HOPELESS_US / 2 ? now : due - run - run / 2;
+  gint64 run = mh_place_run_us (core, s);
+  /* Estimates are often wrong by half. */
+  gint64 latest = job->start_by_us > now + MH_HOPELESS_US / 2 ? now : job->start_by_us - run / 2;
   latest = MAX (latest, now + soonest);
   while (*cpus < s->cpus && *next < endings->len
          && g_array_index (endings, Ending, *next).at_us <= latest)
@@ -698,10 +697,11 @@
           used += m->used_cpus;
         }
     }
-  mh_info (core,
-           "fleet: %u machines (%u idle), %u coming, %u leaving, %.2f an hour; %.0f of %.0f cpus in "
-           "use; %u tasks waiting",
-           live, idle, coming, leaving, hourly, used, all, tasks_waiting (core));
+  mh_info (
+      core,
+      "fleet: %u machines (%u idle), %u coming, %u leaving, %.2f an hour; %.0f of %.0f cpus in "
+      "use; %u tasks waiting",
+      live, idle, coming, leaving, hourly, used, all, tasks_waiting (core));
 }
 
 void
