Ask silent machines directly; leader's lease of 1 s

Cause: a hung machine's replicas were out for 10 s before it was given back, and each change of leader cost 1.5 s. Ruled out: releasing sooner without asking, which would lose workers that are looking for their leader.

--- a/src/core-private.h
+++ b/src/core-private.h
@@ -196,6 +196,8 @@
   bool releasing; /* decided; holds until it is confirmed */
   bool release_sent;
   bool gone;       /* confirmed released */
+  bool probing;    /* being asked whether it is alive */
+  gint64 deaf_us;  /* when it last gave no answer to that; 0: it has been heard since */
   bool running;    /* listed as such */
   const char *why; /* of the release */
   gint64 known_us, rented_us, heard_us, idle_us;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -5,6 +5,7 @@
 
 #define DIRECT_TIMEOUT_US (2 * MH_SECOND_US)
 /* An unanswered command is fenced by a new epoch after this. */
+#define PROBE_TIMEOUT_US (3 * MH_SECOND_US / 2)
 #define LOOSE_US (6 * MH_SECOND_US)
 #define REMEMBER_GONE_US (90 * MH_SECOND_US)
 /* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
@@ -492,6 +493,7 @@
   bool first = !m->reported;
   m->reported = true;
   m->heard_us = core->now.mono_us;
+  m->deaf_us = 0;
   m->tenure = r->tenure;
   m->tick = r->tick;
   m->epoch = r->epoch;
@@ -796,19 +798,51 @@
    tasks are gone. */
 typedef struct
 {
-  gint64 known_us;  /* one that has reported to this leader */
-  gint64 unseen_us; /* one that has not, since the election */
+  bool cut_off;      /* this side may be */
+  gint64 suspect_us; /* one that has reported to this leader is asked directly */
+  gint64 known_us;   /* ... is given back, whatever that brought */
+  gint64 unseen_us;  /* one that has not reported, since the election */
 } Patience;
 
+static void
+probe_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  MhMachine *m = mh_fleet_machine (core, data);
+  g_autoptr (MhReport) r = status == 200 ? mh_wire_read_report (body) : NULL;
+  if (m == NULL || m->gone)
+    return;
+  m->probing = false;
+  if (r == NULL || strcmp (r->machine, m->name) != 0)
+    m->deaf_us = core->now.mono_us;
+  else if (newer (m, r) && r->epoch <= core->leader.own_epoch)
+    observe (core, m, r, false);
+}
+
+static void
+probe (MhCore *core, MhMachine *m)
+{
+  m->probing = true;
+  mh_core_call (core, MH_RANK_RULES, mh_wire_show (m->endpoint), 0, PROBE_TIMEOUT_US, probe_reply,
+                g_strdup (m->name), g_free);
+}
+
 static void
 check_silence (MhCore *core, MhMachine *m, const Patience *patience)
 {
   gint64 now = core->now.mono_us;
-  if (m->reported || m->attempts->len || m->running)
+  if (m->reported)
+    {
+      gint64 silent = now - m->heard_us;
+      if (silent > patience->known_us || (m->deaf_us && !patience->cut_off))
+        mh_scale_release (core, m, m->deaf_us ? "silent, and gives no answer" : "silent");
+      else if (silent > patience->suspect_us && !m->probing && !m->deaf_us && m->endpoint)
+        probe (core, m);
+      return;
+    }
+  if (m->attempts->len || m->running)
     {
-      if (m->reported ? now - m->heard_us > patience->known_us
-                      : now - MAX (core->leader.since_us, m->known_us) > patience->unseen_us)
-        mh_scale_release (core, m, m->reported ? "silent" : "silent since the change of leader");
+      if (now - MAX (core->leader.since_us, m->known_us) > patience->unseen_us)
+        mh_scale_release (core, m, "silent since the change of leader");
       return;
     }
   gint64 boot = m->type ? m->type->boot_us : 60 * MH_SECOND_US;
@@ -823,7 +857,9 @@
   guint silent = 0, unseen = 0, all = 0;
   gint64 usual = core->settings->silence_us;
   /* A new leader's workers need time to find it. */
-  Patience p = { .known_us = usual, .unseen_us = usual + 6 * MH_SECOND_US };
+  Patience p = { .suspect_us = core->settings->report_us * 5 / 4 + MH_SECOND_US * 3 / 4,
+                 .known_us = usual,
+                 .unseen_us = usual + 6 * MH_SECOND_US };
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
@@ -834,7 +870,7 @@
         continue;
       all++;
       if (m->reported)
-        silent += mh_fleet_silent (core, m, usual);
+        silent += m->deaf_us || mh_fleet_silent (core, m, usual);
       else
         unseen++;
     }
@@ -842,7 +878,10 @@
      is cut off from the state service alone may hold all workers for a while. Without this, a new
      leader once gave back a whole fleet of working machines. */
   if (silent >= 3 && silent * 2 > all)
-    p.known_us = core->settings->worker_lease_us + 5 * MH_SECOND_US;
+    {
+      p.cut_off = true;
+      p.known_us = core->settings->worker_lease_us + 5 * MH_SECOND_US;
+    }
   if (unseen >= 3 && unseen * 2 > all)
     p.unseen_us = MAX (p.unseen_us, keep_alive_us (core) + 10 * MH_SECOND_US);
   return p;
--- a/src/settings.c
+++ b/src/settings.c
@@ -48,7 +48,7 @@
   s->teams = g_ptr_array_new_with_free_func (team_free);
   s->objectives = g_ptr_array_new_with_free_func (objective_free);
   s->spread = g_ptr_array_new_with_free_func (spread_rule_free);
-  s->lease_us = 1500000;
+  s->lease_us = 1000000;
   s->idle_us = 8 * MH_SECOND_US;
   s->batch = G_MAXUINT;
   s->max_skew = 1;
--- a/src/wire.c
+++ b/src/wire.c
@@ -1078,3 +1078,11 @@
   r->endpoint = g_strdup (endpoint);
   return r;
 }
+
+MhRequest *
+mh_wire_show (const char *endpoint)
+{
+  MhRequest *r = request (MH_TARGET_WORKER, "GET", g_strdup ("/show"), NULL);
+  r->endpoint = g_strdup (endpoint);
+  return r;
+}
--- a/src/wire.h
+++ b/src/wire.h
@@ -169,3 +169,5 @@
 mh_wire_release (char **machines);
 MhRequest *
 mh_wire_commands (const char *endpoint, guint64 epoch, guint64 tenure, GArray *orders);
+MhRequest *
+mh_wire_show (const char *endpoint);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -207,7 +207,11 @@
       at (sim, until + 1000, flight_arrive, g_rc_box_acquire (f), flight_unref);
       return;
     }
-  guint status = world_commands (sim->world, w->machine, f->request->body, &reply);
+  guint status = 200;
+  if (strcmp (f->request->path, "/show") == 0)
+    reply = world_report (sim->world, w->machine);
+  else
+    status = world_commands (sim->world, w->machine, f->request->body, &reply);
   flight_answer (sim, f, status, reply);
 }
 
@@ -607,7 +611,7 @@
   if (m->gone || m->failed)
     return;
   at (sim, sim->now_us + 100000, worker_turn, w, NULL);
-  if (!m->up || m->hung_until_us > sim->now_us)
+  if (!m->up || m->hung_until_us > sim->now_us || w->mute_us > sim->now_us)
     return;
   if (w->flying && sim->now_us > w->sent_us + HELLO_TIMEOUT_US)
     {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -29,7 +29,8 @@
   Sim *sim;
   WorldMachine *machine;
   guint node;
-  gint64 next_us, sent_us, cut_us;
+  gint64 next_us, sent_us;
+  gint64 cut_us, mute_us; /* without network, sends no report: until */
   bool flying;
   guint flight;
   guint64 signature;
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -276,6 +276,25 @@
   finish (sim);
 }
 
+/* A machine that does not report is asked; one that answers is kept, one that does not is given
+   back well before the worker's lease would have ended. */
+static void
+test_silence_is_asked_about (void)
+{
+  Sim *sim = sim_new (23);
+  running_service (sim, 1, 1);
+  SimWorker *w = worker_of (sim, "j-000001/0");
+  w->mute_us = sim->now_us + 12 * MH_SECOND_US;
+  sim_run (sim, 14);
+  g_assert_false (w->machine->gone);
+  g_assert_cmpuint (sim->world->starts, ==, 1);
+  w->machine->hung_until_us = sim->now_us + 100 * MH_SECOND_US;
+  gint64 hung = sim->now_us;
+  WAIT (sim, 60, is_gone, w->machine);
+  g_assert_cmpint (sim->now_us - hung, <, sim->settings->worker_lease_us / 2);
+  finish (sim);
+}
+
 /* A worker whose lease ran out has a new tenure: proof by itself. */
 static void
 test_new_tenure (void)
@@ -512,6 +531,7 @@
   ADD ("late-command-fenced", test_late_command_is_fenced);
   ADD ("cancel-in-flight", test_cancel_in_flight);
   ADD ("quota-unreachable", test_quota_unreachable);
+  ADD ("silence-is-asked-about", test_silence_is_asked_about);
   ADD ("new-tenure", test_new_tenure);
   ADD ("leader-crash", test_leader_crash);
   ADD ("all-crash", test_all_crash);
