--- a/src/fleet.c
+++ b/src/fleet.c
@@ -308,12 +308,13 @@
   t->state = done ? MH_TASK_DONE : MH_TASK_PENDING;
   job->n_live--;
   if (done)
-    {
-      job->n_done++;
-      mh_store_touch (core, mh_job_record (job, a->index));
-    }
+    job->n_done++;
   else
     job->cursor = MIN (job->cursor, a->index);
+  /* An attempt that is over without a result is written too: else a new leader would look for proof
+     of it once more, on a machine that may have been given back long ago. */
+  if (!job->cancelled)
+    mh_store_touch (core, mh_job_record (job, a->index));
   g_free (a);
   job_check_over (core, job);
   core->place_wanted = true;
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -295,6 +295,24 @@
   finish (sim);
 }
 
+/* What was proven gone is on record: a new leader does not look for it again. */
+static void
+test_proof_is_kept (void)
+{
+  Sim *sim = sim_new (24);
+  running_service (sim, 1, 1);
+  SimWorker *w = worker_of (sim, "j-000001/0");
+  sim->world->capacity = 0; /* the task has nowhere else to go */
+  w->machine->hung_until_us = sim->now_us + 300 * MH_SECOND_US;
+  WAIT (sim, 60, is_gone, w->machine);
+  sim_run (sim, 2);
+  sim_stop_node (sim, sim_leader (sim)->index);
+  sim_run (sim, 40);
+  g_assert_nonnull (sim_leader (sim));
+  g_assert_false (sim_logged (sim, "silent since the change"));
+  finish (sim);
+}
+
 /* A worker whose lease ran out has a new tenure: proof by itself. */
 static void
 test_new_tenure (void)
@@ -532,6 +550,7 @@
   ADD ("cancel-in-flight", test_cancel_in_flight);
   ADD ("quota-unreachable", test_quota_unreachable);
   ADD ("silence-is-asked-about", test_silence_is_asked_about);
+  ADD ("proof-is-kept", test_proof_is_kept);
   ADD ("new-tenure", test_new_tenure);
   ADD ("leader-crash", test_leader_crash);
   ADD ("all-crash", test_all_crash);
