--- a/src/fleet.c
+++ b/src/fleet.c
@@ -847,7 +847,7 @@
       return;
     }
   gint64 boot = m->type ? m->type->boot_us : 60 * MH_SECOND_US;
-  if (now - m->rented_us > 4 * boot + 10 * MH_SECOND_US
+  if (now - m->rented_us > 3 * boot + 10 * MH_SECOND_US
       && now - core->leader.since_us > core->settings->report_us * 2 + 6 * MH_SECOND_US)
     mh_scale_release (core, m, "never came up");
 }
--- a/src/scale.c
+++ b/src/scale.c
@@ -533,6 +533,16 @@
   return endings;
 }
 
+/* A task that takes room leaves it again. */
+static void
+add_ending (GArray *endings, guint from, gint64 at_us, const MhJobSpec *s)
+{
+  Ending e = { .at_us = at_us, .cpus = s->cpus, .mem = s->mem_gb };
+  while (from < endings->len && g_array_index (endings, Ending, from).at_us < at_us)
+    from++;
+  g_array_insert_val (endings, from, e);
+}
+
 /* Whether a task may wait for room that running tasks leave: a machine rented now would not be
    there sooner, or the task would still end in time. Takes the room if so. */
 static bool
@@ -560,11 +570,7 @@
       *cpus += e->cpus;
       (*next)++;
       /* The task that takes the room leaves it again. */
-      Ending again = { .at_us = e->at_us + run, .cpus = s->cpus };
-      guint at = *next;
-      while (at < endings->len && g_array_index (endings, Ending, at).at_us < again.at_us)
-        at++;
-      g_array_insert_val (endings, at, again);
+      add_ending (endings, *next, e->at_us + run, s);
     }
   if (*cpus < s->cpus)
     return false;
@@ -616,6 +622,9 @@
               v = &g_array_index (virtuals, Virtual, virtuals->len - 1);
             }
           virtual_take (v, s);
+          if (s->shape != MH_SHAPE_SERVICE)
+            add_ending (endings, next_ending,
+                        core->now.mono_us + v->type->boot_us + mh_place_run_us (core, s), s);
           use->cpus += s->cpus;
           use->gpus += s->gpus;
         }
