--- a/src/place.c
+++ b/src/place.c
@@ -9,6 +9,7 @@
 #define PREEMPTIONS_PER_PASS 16u
 /* Starts in one pass: a huge array must not hold up everything else in the process. */
 #define STARTS_PER_PASS 400u
+#define LATE_STEP_US (10 * MH_SECOND_US)
 
 bool
 mh_place_type_fits (const MhJobSpec *s, const MhMachineType *t)
@@ -215,6 +216,28 @@
   return jobs;
 }
 
+/* How long a start of the job may still take, by the aims that hold for it; without one, and once
+   it is late, there is no hurry. */
+static gint64
+patience_of (const MhCore *core, const MhJob *job)
+{
+  gint64 waited = core->now.mono_us - job->submitted_us, least = 60 * MH_SECOND_US;
+  bool promised = false;
+  for (guint i = 0; i < core->settings->objectives->len; i++)
+    {
+      const MhObjective *o = g_ptr_array_index (core->settings->objectives, i);
+      bool holds = o->kind == MH_OBJECTIVE_WAIT
+                       ? g_strcmp0 (o->class_name, job->spec->class_name) == 0
+                       : o->kind == MH_OBJECTIVE_GUARANTEE && job->guaranteed;
+      promised |= o->kind == MH_OBJECTIVE_GUARANTEE;
+      if (holds && waited < o->within_us)
+        least = MIN (least, o->within_us - waited);
+    }
+  if (job->guaranteed && !promised)
+    least = MIN (least, 3 * MH_SECOND_US);
+  return least;
+}
+
 /* ---- one job ---- */
 
 typedef struct
@@ -265,14 +288,17 @@
   return (m->spot ? m->type->spot_price : m->type->price) / MAX (m->type->cpus, 1e-3);
 }
 
-/* What a cpu of the machine costs while the task waits for its image and runs; for a service, which
-   is waited for, the waiting alone, in steps of a second. */
+/* For an array, what a cpu of the machine costs while the task waits for its image and runs. For a
+   service, which is waited for: whether its image is there, comes in time for the aim, or too late, and
+   then in steps; among equals the price counts, since replicas stay where they are. */
 static double
-walk_cost (const MhJobSpec *s, const Candidate *c)
+walk_cost (const MhJobSpec *s, const Candidate *c, gint64 patience)
 {
-  if (s->shape == MH_SHAPE_SERVICE)
-    return (double)(c->wait_us / MH_SECOND_US);
-  return unit_price (c->machine) * (double)(c->wait_us + s->estimate_us + MH_SECOND_US);
+  if (s->shape != MH_SHAPE_SERVICE)
+    return unit_price (c->machine) * (double)(c->wait_us + s->estimate_us + MH_SECOND_US);
+  if (c->wait_us <= 0)
+    return 0;
+  return c->wait_us <= patience ? 1 : 2 + (double)(c->wait_us / LATE_STEP_US);
 }
 
 /* The documented order: the soft score; the cost as above; the cheapest by the cpu; the fullest, so
@@ -331,6 +357,7 @@
   const MhJobSpec *s = p->job->spec;
   GHashTableIter it;
   gpointer value;
+  gint64 patience = patience_of (core, p->job);
   const char *only_zone = s->zone;
   if (s->one_zone)
     for (guint i = 0; i < s->tasks && p->job->n_live; i++)
@@ -358,7 +385,7 @@
       Candidate c = { .machine = m,
                       .zone = zone,
                       .wait_us = mh_fleet_image_wait (core, m, s->image, s->image_gb) };
-      c.cost = walk_cost (s, &c);
+      c.cost = walk_cost (s, &c, patience);
       g_array_append_val (p->candidates, c);
       if (has_room (m, s))
         g_array_index (p->zones, MhZoneCount, zone).feasible = true;
@@ -558,28 +585,6 @@
   return true;
 }
 
-/* How long a start of the job may still take, by the aims that hold for it; without one, and once
-   it is late, there is no hurry. */
-static gint64
-patience_of (const MhCore *core, const MhJob *job)
-{
-  gint64 waited = core->now.mono_us - job->submitted_us, least = 60 * MH_SECOND_US;
-  bool promised = false;
-  for (guint i = 0; i < core->settings->objectives->len; i++)
-    {
-      const MhObjective *o = g_ptr_array_index (core->settings->objectives, i);
-      bool holds = o->kind == MH_OBJECTIVE_WAIT
-                       ? g_strcmp0 (o->class_name, job->spec->class_name) == 0
-                       : o->kind == MH_OBJECTIVE_GUARANTEE && job->guaranteed;
-      promised |= o->kind == MH_OBJECTIVE_GUARANTEE;
-      if (holds && waited < o->within_us)
-        least = MIN (least, o->within_us - waited);
-    }
-  if (job->guaranteed && !promised)
-    least = MIN (least, 3 * MH_SECOND_US);
-  return least;
-}
-
 static void
 place_job (MhCore *core, MhJob *job, guint *starts, guint *preemptions)
 {
--- a/src/scale.c
+++ b/src/scale.c
@@ -191,6 +191,19 @@
 
 /* ---- emptying machines that do little ---- */
 
+static guint
+tasks_waiting (MhCore *core)
+{
+  guint waiting = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (!mh_job_over (value))
+      waiting += mh_job_pending (value);
+  return waiting;
+}
+
 static bool
 steady (const MhMachine *m)
 {
@@ -204,6 +217,12 @@
   double cpus, gpus, mem;
 } Room;
 
+static double
+hourly (const MhMachine *m)
+{
+  return m->spot ? m->type->spot_price : m->type->price;
+}
+
 static bool
 fits_elsewhere (MhCore *core, const MhMachine *m)
 {
@@ -254,6 +273,15 @@
   return true;
 }
 
+static bool
+has_service (const MhMachine *m)
+{
+  for (guint i = 0; i < m->attempts->len; i++)
+    if (((MhAttempt *)g_ptr_array_index (m->attempts, i))->job->spec->shape == MH_SHAPE_SERVICE)
+      return true;
+  return false;
+}
+
 /* A machine that holds a few replicas long after the work it was rented for costs as much as a full
    one. Its replicas are moved to where their image is, which takes a moment, and it is given back.
    One machine at a time, and only while nothing waits. */
@@ -261,7 +289,7 @@
 consolidate (MhCore *core, guint waiting)
 {
   MhMachine *best = NULL;
-  double best_use = 0;
+  double best_waste = 0;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
@@ -272,19 +300,18 @@
         m->draining = false;
       if (!steady (m) || m->attempts->len == 0)
         continue;
-      double price = m->spot ? m->type->spot_price : m->type->price;
-      double use = m->used_cpus / MAX (price, 1e-6);
+      double waste = hourly (m) * (1 - m->used_cpus / m->type->cpus);
       if (m->draining)
         {
           best = m;
           break;
         }
       if (m->used_cpus > m->type->cpus * EMPTY_ENOUGH
-          || core->now.mono_us - m->rented_us < LEAST_PAID_US || (best && use >= best_use)
+          || core->now.mono_us - m->rented_us < LEAST_PAID_US || waste <= best_waste || !has_service (m)
           || !fits_elsewhere (core, m))
         continue;
       best = m;
-      best_use = use;
+      best_waste = waste;
     }
   if (best == NULL || waiting)
     return;
@@ -668,25 +695,12 @@
              || core->now.mono_us - core->leader.since_us > core->settings->list_lag_us);
 }
 
-static guint
-tasks_waiting (MhCore *core)
-{
-  guint waiting = 0;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, core->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    if (!mh_job_over (value))
-      waiting += mh_job_pending (value);
-  return waiting;
-}
-
 /* One line for the operator: what is paid for and what it does. */
 static void
 tell_fleet (MhCore *core)
 {
   guint live = 0, coming = 0, idle = 0, leaving = 0;
-  double all = 0, used = 0, hourly = 0;
+  double all = 0, used = 0, an_hour = 0;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
@@ -696,7 +710,7 @@
       if (m->gone)
         continue;
       leaving += m->releasing;
-      hourly += m->type ? m->spot ? m->type->spot_price : m->type->price : 0;
+      an_hour += m->type ? hourly (m) : 0;
       live += m->reported && !m->releasing;
       coming += !m->reported && !m->releasing;
       idle += m->reported && !m->releasing && m->attempts->len == 0;
@@ -710,7 +724,7 @@
       core,
       "fleet: %u machines (%u idle), %u coming, %u leaving, %.2f an hour; %.0f of %.0f cpus in "
       "use; %u tasks waiting",
-      live, idle, coming, leaving, hourly, used, all, tasks_waiting (core));
+      live, idle, coming, leaving, an_hour, used, all, tasks_waiting (core));
 }
 
 void
