--- a/src/place.c
+++ b/src/place.c
@@ -247,6 +247,7 @@
   gint64 wait_us; /* for the image */
   gint score;     /* of the soft spread */
   double cost;
+  guint replicas; /* for a service: of any, on the machine */
 } Candidate;
 
 typedef struct
@@ -289,8 +290,8 @@
 }
 
 /* For an array, what a cpu of the machine costs while the task waits for its image and runs. For a
-   service, which is waited for: whether its image is there, comes in time for the aim, or too late, and
-   then in steps; among equals the price counts, since replicas stay where they are. */
+   service, which is waited for: whether its image is there, comes in time for the aim, or too late,
+   and then in steps; among equals the price counts, since replicas stay where they are. */
 static double
 walk_cost (const MhJobSpec *s, const Candidate *c, gint64 patience)
 {
@@ -311,6 +312,8 @@
     return x->score < y->score ? -1 : 1;
   if (x->cost != y->cost)
     return x->cost < y->cost ? -1 : 1;
+  if (x->replicas != y->replicas)
+    return x->replicas < y->replicas ? -1 : 1;
   double px = unit_price (x->machine), py = unit_price (y->machine);
   if (px != py)
     return px < py ? -1 : 1;
@@ -386,6 +389,10 @@
                       .zone = zone,
                       .wait_us = mh_fleet_image_wait (core, m, s->image, s->image_gb) };
       c.cost = walk_cost (s, &c, patience);
+      if (s->shape == MH_SHAPE_SERVICE)
+        for (guint i = 0; i < m->attempts->len; i++)
+          c.replicas += ((MhAttempt *)g_ptr_array_index (m->attempts, i))->job->spec->shape
+                        == MH_SHAPE_SERVICE;
       g_array_append_val (p->candidates, c);
       if (has_room (m, s))
         g_array_index (p->zones, MhZoneCount, zone).feasible = true;
--- a/src/scale.c
+++ b/src/scale.c
@@ -307,8 +307,8 @@
           break;
         }
       if (m->used_cpus > m->type->cpus * EMPTY_ENOUGH
-          || core->now.mono_us - m->rented_us < LEAST_PAID_US || waste <= best_waste || !has_service (m)
-          || !fits_elsewhere (core, m))
+          || core->now.mono_us - m->rented_us < LEAST_PAID_US || waste <= best_waste
+          || !has_service (m) || !fits_elsewhere (core, m))
         continue;
       best = m;
       best_waste = waste;
