--- a/src/scale.c
+++ b/src/scale.c
@@ -589,7 +589,10 @@
   gint64 run = mh_place_run_us (core, s);
   /* Estimates are often wrong by half. */
   gint64 latest = job->start_by_us > now + MH_HOPELESS_US / 2 ? now : job->start_by_us - run / 2;
-  latest = MAX (latest, now + soonest);
+  /* What a rented machine cannot bring in time any more does not call for one; only a backlog that
+     would outlast its boot does. */
+  if (latest < now + soonest)
+    latest = now + 2 * soonest;
   while (*cpus < s->cpus && *next < endings->len
          && g_array_index (endings, Ending, *next).at_us <= latest)
     {
