--- a/src/core-private.h
+++ b/src/core-private.h
@@ -295,6 +295,8 @@
 mh_place_learn (MhCore *core, const MhJobSpec *spec, gint64 ran_us);
 gint64
 mh_place_run_us (MhCore *core, const MhJobSpec *spec); /* as far as can be told */
+gint64
+mh_place_fetch_us (const MhCore *core, const MhJobSpec *spec); /* of its image, alone */
 
 void
 mh_scale_start (MhCore *core);
--- a/src/place.c
+++ b/src/place.c
@@ -118,8 +118,8 @@
   return (gint64)((double)s->estimate_us * mh_place_bias (core, s->class_name));
 }
 
-static gint64
-fetch_us (const MhCore *core, const MhJobSpec *s)
+gint64
+mh_place_fetch_us (const MhCore *core, const MhJobSpec *s)
 {
   for (guint i = 0; core->types && i < core->types->len; i++)
     {
@@ -137,7 +137,7 @@
 {
   const MhJobSpec *s = job->spec;
   gint64 now = core->now.mono_us, at = G_MAXINT64, last = 0;
-  gint64 needs = fetch_us (core, s) + mh_place_run_us (core, s);
+  gint64 needs = mh_place_fetch_us (core, s) + mh_place_run_us (core, s);
   if (s->deadline_us >= 0)
     at = last = job->submitted_us + s->deadline_us;
   else
--- a/src/scale.c
+++ b/src/scale.c
@@ -550,7 +550,8 @@
           if (s->shape == MH_SHAPE_SERVICE)
             continue;
           gint64 whole = mh_place_run_us (core, s);
-          gint64 left = whole - (a->running_us ? now - a->running_us : 0);
+          gint64 left = a->running_us ? whole - (now - a->running_us)
+                                      : whole + mh_place_fetch_us (core, s) - (now - a->placed_us);
           /* One that has outrun its estimate goes on for a part of it. */
           Ending e = { .at_us = now + MAX (left, whole / 4), .cpus = s->cpus, .mem = s->mem_gb };
           g_array_append_val (endings, e);
@@ -600,7 +601,7 @@
       *cpus += e->cpus;
       (*next)++;
       /* The task that takes the room leaves it again. */
-      add_ending (endings, *next, e->at_us + run, s);
+      add_ending (endings, *next, e->at_us + run + mh_place_fetch_us (core, s) / 2, s);
     }
   if (*cpus < s->cpus)
     return false;
@@ -654,7 +655,9 @@
           virtual_take (v, s);
           if (s->shape != MH_SHAPE_SERVICE)
             add_ending (endings, next_ending,
-                        core->now.mono_us + v->type->boot_us + mh_place_run_us (core, s), s);
+                        core->now.mono_us + v->type->boot_us + mh_place_run_us (core, s)
+                            + mh_place_fetch_us (core, s),
+                        s);
           use->cpus += s->cpus;
           use->gpus += s->gpus;
         }
