--- a/src/place.c
+++ b/src/place.c
@@ -9,6 +9,7 @@
 #define PREEMPTIONS_PER_PASS 16u
 /* Starts in one pass: a huge array must not hold up everything else in the process. */
 #define STARTS_PER_PASS 400u
+#define MUCH_DEARER 2
 #define LATE_STEP_US (10 * MH_SECOND_US)
 
 bool
@@ -248,6 +249,7 @@
   gint score;     /* of the soft spread */
   double cost;
   guint replicas; /* for a service: of any, on the machine */
+  bool dear;      /* for a service: costs much more than another that would do */
 } Candidate;
 
 typedef struct
@@ -312,6 +314,8 @@
     return x->score < y->score ? -1 : 1;
   if (x->cost != y->cost)
     return x->cost < y->cost ? -1 : 1;
+  if (x->dear != y->dear)
+    return y->dear ? -1 : 1;
   if (x->replicas != y->replicas)
     return x->replicas < y->replicas ? -1 : 1;
   double px = unit_price (x->machine), py = unit_price (y->machine);
@@ -414,9 +418,31 @@
   return !p->spread || p->soft || mh_spread_hard_fits (zones, p->zones->len, zone, p->max_skew);
 }
 
+static double
+hourly (const MhMachine *m)
+{
+  return m->spot ? m->type->spot_price : m->type->price;
+}
+
+/* A replica may keep its machine for long after everything else on it has ended. */
+static void
+mark_dear (Placing *p)
+{
+  double least = G_MAXDOUBLE;
+  for (guint i = 0; i < p->candidates->len; i++)
+    least = MIN (least, hourly (g_array_index (p->candidates, Candidate, i).machine));
+  for (guint i = 0; i < p->candidates->len; i++)
+    {
+      Candidate *c = &g_array_index (p->candidates, Candidate, i);
+      c->dear = hourly (c->machine) > MUCH_DEARER * least;
+    }
+}
+
 static void
 rank (Placing *p)
 {
+  if (p->spread)
+    mark_dear (p);
   if (p->spread && p->soft)
     for (guint i = 0; i < p->candidates->len; i++)
       {
