--- a/src/core-private.h
+++ b/src/core-private.h
@@ -197,7 +197,8 @@
   bool release_sent;
   bool gone;       /* confirmed released */
   bool probing;    /* being asked whether it is alive */
-  gint64 deaf_us;  /* when it last gave no answer to that; 0: it has been heard since */
+  guint deaf;     /* probes in a row without an answer */
+  gint64 hello_us; /* of the last report that it sent by itself */
   bool running;    /* listed as such */
   const char *why; /* of the release */
   gint64 known_us, rented_us, heard_us, idle_us;
@@ -230,6 +231,8 @@
 mh_fleet_cached (const MhMachine *machine, const char *image);
 gint64
 mh_fleet_image_wait (const MhCore *core, const MhMachine *machine, const char *image, double gb);
+guint
+mh_fleet_replicas (const MhMachine *machine); /* of services, on it */
 void
 mh_fleet_clear (MhCore *core);
 void
@@ -426,7 +429,7 @@
   GPtrArray *types;        /* MhMachineType; NULL until known */
   GHashTable *team_use;    /* team -> MhUse */
   GHashTable *class_stats; /* class -> MhClassStat */
-  bool place_wanted;
+  bool place_wanted, place_urgent;
   gint64 placed_us;
   GHashTable *forwards; /* id -> MhUserVerb as pointer */
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -5,7 +5,10 @@
 
 #define DIRECT_TIMEOUT_US (2 * MH_SECOND_US)
 /* An unanswered command is fenced by a new epoch after this. */
-#define PROBE_TIMEOUT_US (3 * MH_SECOND_US / 2)
+#define PROBE_TIMEOUT_US (MH_SECOND_US)
+#define DEAF_PROBES 2u
+/* Machines with replicas are asked sooner, as far as the processor's share allows. */
+#define PROBES_PER_CORE_S 40
 #define LOOSE_US (6 * MH_SECOND_US)
 #define REMEMBER_GONE_US (90 * MH_SECOND_US)
 /* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
@@ -210,6 +213,15 @@
   g_ptr_array_add (m->cache, c); /* the last one used stands last */
 }
 
+guint
+mh_fleet_replicas (const MhMachine *m)
+{
+  guint n = 0;
+  for (guint i = 0; i < m->attempts->len; i++)
+    n += ((MhAttempt *)g_ptr_array_index (m->attempts, i))->job->spec->shape == MH_SHAPE_SERVICE;
+  return n;
+}
+
 /* ---- attempts ---- */
 
 static MhUse *
@@ -315,9 +327,11 @@
      of it once more, on a machine that may have been given back long ago. */
   if (!job->cancelled)
     mh_store_touch (core, mh_job_record (job, a->index));
+  /* Room that was made by preemption is wanted at once, and so is a new place for a replica. */
+  core->place_urgent |= a->kill || job->spec->shape == MH_SHAPE_SERVICE;
+  core->place_wanted = true;
   g_free (a);
   job_check_over (core, job);
-  core->place_wanted = true;
 }
 
 void
@@ -494,7 +508,9 @@
   bool first = !m->reported;
   m->reported = true;
   m->heard_us = core->now.mono_us;
-  m->deaf_us = 0;
+  m->deaf = 0;
+  if (hello)
+    m->hello_us = core->now.mono_us;
   m->tenure = r->tenure;
   m->tick = r->tick;
   m->epoch = r->epoch;
@@ -800,11 +816,16 @@
 typedef struct
 {
   bool cut_off;      /* this side may be */
+  gint64 report_us;  /* the longest that a worker takes to its next report, and some */
   gint64 suspect_us; /* one that has reported to this leader is asked directly */
+  gint64 replica_us; /* ... sooner if it holds replicas */
   gint64 known_us;   /* ... is given back, whatever that brought */
   gint64 unseen_us;  /* one that has not reported, since the election */
 } Patience;
 
+static void
+probe (MhCore *core, MhMachine *m);
+
 static void
 probe_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
@@ -814,7 +835,11 @@
     return;
   m->probing = false;
   if (r == NULL || strcmp (r->machine, m->name) != 0)
-    m->deaf_us = core->now.mono_us;
+    {
+      /* Once may be a lost packet. */
+      if (++m->deaf < DEAF_PROBES)
+        probe (core, m);
+    }
   else if (newer (m, r) && r->epoch <= core->leader.own_epoch)
     observe (core, m, r, false);
 }
@@ -834,9 +859,11 @@
   if (m->reported)
     {
       gint64 silent = now - m->heard_us;
-      if (silent > patience->known_us || (m->deaf_us && !patience->cut_off))
-        mh_scale_release (core, m, m->deaf_us ? "silent, and gives no answer" : "silent");
-      else if (silent > patience->suspect_us && !m->probing && !m->deaf_us && m->endpoint)
+      if (silent > patience->known_us || (m->deaf >= DEAF_PROBES && !patience->cut_off
+              && now - m->hello_us > patience->report_us))
+        mh_scale_release (core, m, m->deaf ? "silent, and gives no answer" : "silent");
+      else if (silent > (mh_fleet_replicas (m) ? patience->replica_us : patience->suspect_us)
+               && !m->probing && m->deaf == 0 && m->endpoint)
         probe (core, m);
       return;
     }
@@ -855,10 +882,12 @@
 static Patience
 patience (MhCore *core)
 {
-  guint silent = 0, unseen = 0, all = 0;
+  guint silent = 0, unseen = 0, all = 0, hosts = 0;
   gint64 usual = core->settings->silence_us;
   /* A new leader's workers need time to find it. */
-  Patience p = { .suspect_us = core->settings->report_us * 5 / 4 + MH_SECOND_US * 3 / 4,
+  gint64 report = core->settings->report_us * 5 / 4 + MH_SECOND_US * 2 / 5;
+  Patience p = { .report_us = report,
+                 .suspect_us = report + MH_SECOND_US / 3,
                  .known_us = usual,
                  .unseen_us = usual + 6 * MH_SECOND_US };
   GHashTableIter it;
@@ -870,8 +899,9 @@
       if (m->gone || m->releasing || !(m->reported || m->attempts->len))
         continue;
       all++;
+      hosts += mh_fleet_replicas (m) > 0;
       if (m->reported)
-        silent += m->deaf_us || mh_fleet_silent (core, m, usual);
+        silent += m->deaf || mh_fleet_silent (core, m, usual);
       else
         unseen++;
     }
@@ -885,6 +915,10 @@
     }
   if (unseen >= 3 && unseen * 2 > all)
     p.unseen_us = MAX (p.unseen_us, keep_alive_us (core) + 10 * MH_SECOND_US);
+  gint64 every
+      = (gint64)((double)hosts * MH_SECOND_US / (PROBES_PER_CORE_S * core->settings->core_share));
+  /* Both probes are over when the report is overdue. */
+  p.replica_us = MIN (p.suspect_us, MAX (report - DEAF_PROBES * PROBE_TIMEOUT_US, every));
   return p;
 }
 
--- a/src/place.c
+++ b/src/place.c
@@ -4,7 +4,10 @@
 #include <string.h>
 
 #define EPSILON 1e-6
-#define PASS_US 20000
+/* A pass looks at every machine for every job that waits, which on a small share of a core is dear:
+   only what is expected to start within seconds calls for one at once. */
+#define URGENT_PASS_US 20000
+#define PASS_US 150000
 #define IDLE_PASS_US (MH_SECOND_US / 2)
 #define PREEMPTIONS_PER_PASS 16u
 /* Starts in one pass: a huge array must not hold up everything else in the process. */
@@ -394,9 +397,7 @@
                       .wait_us = mh_fleet_image_wait (core, m, s->image, s->image_gb) };
       c.cost = walk_cost (s, &c, patience);
       if (s->shape == MH_SHAPE_SERVICE)
-        for (guint i = 0; i < m->attempts->len; i++)
-          c.replicas += ((MhAttempt *)g_ptr_array_index (m->attempts, i))->job->spec->shape
-                        == MH_SHAPE_SERVICE;
+        c.replicas = mh_fleet_replicas (m);
       g_array_append_val (p->candidates, c);
       if (has_room (m, s))
         g_array_index (p->zones, MhZoneCount, zone).feasible = true;
@@ -681,14 +682,17 @@
 mh_place_step (MhCore *core)
 {
   gint64 now = core->now.mono_us;
-  gint64 next = core->placed_us + (core->place_wanted ? PASS_US : IDLE_PASS_US);
+  gint64 next = core->placed_us
+                + (core->place_urgent   ? URGENT_PASS_US
+                   : core->place_wanted ? PASS_US
+                                        : IDLE_PASS_US);
   if (now < next || core->leader.bumping)
     {
       mh_core_wake_at (core, MAX (next, now + 5000));
       return;
     }
   core->placed_us = now;
-  core->place_wanted = false;
+  core->place_wanted = core->place_urgent = false;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
--- a/src/scale.c
+++ b/src/scale.c
@@ -273,15 +273,6 @@
   return true;
 }
 
-static bool
-has_service (const MhMachine *m)
-{
-  for (guint i = 0; i < m->attempts->len; i++)
-    if (((MhAttempt *)g_ptr_array_index (m->attempts, i))->job->spec->shape == MH_SHAPE_SERVICE)
-      return true;
-  return false;
-}
-
 /* A machine that holds a few replicas long after the work it was rented for costs as much as a full
    one. Its replicas are moved to where their image is, which takes a moment, and it is given back.
    One machine at a time, and only while nothing waits. */
@@ -308,7 +299,7 @@
         }
       if (m->used_cpus > m->type->cpus * EMPTY_ENOUGH
           || core->now.mono_us - m->rented_us < LEAST_PAID_US || waste <= best_waste
-          || !has_service (m) || !fits_elsewhere (core, m))
+          || mh_fleet_replicas (m) == 0 || !fits_elsewhere (core, m))
         continue;
       best = m;
       best_waste = waste;
--- a/src/settings.c
+++ b/src/settings.c
@@ -53,6 +53,7 @@
   s->batch = G_MAXUINT;
   s->max_skew = 1;
   s->direct = true;
+  s->core_share = 0.1;
   return s;
 }
 
--- a/src/store.c
+++ b/src/store.c
@@ -130,13 +130,14 @@
   r->writing = false;
   r->stamp = stamp;
   r->durable = w->rev;
-  core->place_wanted = true;
   if (r->chunk == 0)
     {
       if (!job->accepted)
         mh_info (core, "job %s: accepted: %s of %u tasks for %s (%s)", job->spec->id,
                  job->spec->shape == MH_SHAPE_SERVICE ? "service" : "array", job->spec->tasks,
                  job->spec->team, job->spec->class_name);
+      core->place_wanted |= !job->accepted;
+      core->place_urgent |= !job->accepted && job->spec->shape == MH_SHAPE_SERVICE;
       job->accepted = true;
       job->cancel_durable |= w->cancelled;
       if (w->final)
