--- a/src/fleet.c
+++ b/src/fleet.c
@@ -8,7 +8,7 @@
 #define PROBE_TIMEOUT_US (MH_SECOND_US)
 #define DEAF_PROBES 2u
 /* Machines with replicas are asked sooner, as far as the processor's share allows. */
-#define PROBES_PER_CORE_S 40
+#define PROBES_PER_CORE_S 400
 #define LOOSE_US (6 * MH_SECOND_US)
 #define REMEMBER_GONE_US (90 * MH_SECOND_US)
 /* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
--- a/src/place.c
+++ b/src/place.c
@@ -7,7 +7,7 @@
 /* A pass looks at every machine for every job that waits, which on a small share of a core is dear:
    only what is expected to start within seconds calls for one at once. */
 #define URGENT_PASS_US 20000
-#define PASS_US 150000
+#define PASS_US 50000
 #define IDLE_PASS_US (MH_SECOND_US / 2)
 #define PREEMPTIONS_PER_PASS 16u
 /* Starts in one pass: a huge array must not hold up everything else in the process. */
