--- a/src/fleet.c
+++ b/src/fleet.c
@@ -859,7 +859,8 @@
   if (m->reported)
     {
       gint64 silent = now - m->heard_us;
-      if (silent > patience->known_us || (m->deaf >= DEAF_PROBES && !patience->cut_off
+      if (silent > patience->known_us
+          || (m->deaf >= DEAF_PROBES && !patience->cut_off
               && now - m->hello_us > patience->report_us))
         mh_scale_release (core, m, m->deaf ? "silent, and gives no answer" : "silent");
       else if (silent > (mh_fleet_replicas (m) ? patience->replica_us : patience->suspect_us)
--- a/src/place.c
+++ b/src/place.c
@@ -13,6 +13,8 @@
 /* Starts in one pass: a huge array must not hold up everything else in the process. */
 #define STARTS_PER_PASS 400u
 #define MUCH_DEARER 2
+/* Machines on which an array would miss the aim for its start by its image come last. */
+#define TOO_LATE 1000
 #define LATE_STEP_US (10 * MH_SECOND_US)
 
 bool
@@ -301,7 +303,8 @@
 walk_cost (const MhJobSpec *s, const Candidate *c, gint64 patience)
 {
   if (s->shape != MH_SHAPE_SERVICE)
-    return unit_price (c->machine) * (double)(c->wait_us + s->estimate_us + MH_SECOND_US);
+    return unit_price (c->machine) * (double)(c->wait_us + s->estimate_us + MH_SECOND_US)
+           * (c->wait_us > patience ? TOO_LATE : 1);
   if (c->wait_us <= 0)
     return 0;
   return c->wait_us <= patience ? 1 : 2 + (double)(c->wait_us / LATE_STEP_US);
@@ -672,7 +675,8 @@
   for (guint n = mh_job_pending (job); n > 0 && *preemptions < PREEMPTIONS_PER_PASS; n--)
     {
       cpus += s->cpus;
-      if (!mh_place_quota_fits (core, job, cpus, 0) || !preempt (&p, G_MAXINT64))
+      if (!mh_place_quota_fits (core, job, cpus, 0)
+          || !(preempt (&p, patience) || preempt (&p, G_MAXINT64)))
         return;
       (*preemptions)++;
     }
