Answer from the state service only where no leader holds the key

Such reads now end with the leader's key, which must be absent; a leader whose lease has lapsed answers 503.

--- a/src/core.c
+++ b/src/core.c
@@ -284,6 +284,7 @@
 {
   core->now = *now;
   bool in_charge = core->leader.phase == MH_PHASE_LEAD && mh_leader_valid (core);
+  const MhUserAnswer *final = g_hash_table_lookup (core->finals, job_id);
   if (!in_charge)
     {
       mh_job_spec_free (spec);
@@ -296,7 +297,10 @@
           a->timeout_us = 1500000;
           g_hash_table_insert (core->forwards, g_memdup2 (&id, sizeof id), g_strdup (job_id));
         }
-      else if (!forwarded && verb == MH_USER_STATUS)
+      else if (final)
+        mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
+      /* A leader whose lease has lapsed may not know how its last writes ended. */
+      else if (!forwarded && verb == MH_USER_STATUS && core->leader.phase < MH_PHASE_LOAD)
         mh_store_lookup (core, id, job_id, verb, false);
       else
         mh_core_answer (core, id, 503, 1);
@@ -305,7 +309,6 @@
     }
 
   MhJob *job = g_hash_table_lookup (core->jobs, job_id);
-  const MhUserAnswer *final = g_hash_table_lookup (core->finals, job_id);
   if (verb == MH_USER_SUBMIT)
     submit (core, id, spec);
   else if (job && !job->accepted)
--- a/src/store.c
+++ b/src/store.c
@@ -561,15 +561,27 @@
 
 /* ---- reads for users ---- */
 
+/* Without a leader: the running record, then the final one (a job moves from the first to the second
+   and never back), and at last the leader's key. Only if that is absent may the answer be given: a
+   leader that holds it may not know yet that its own last write was carried out, and would tell the
+   same user something older. In charge, only the final record is left to read. */
+typedef enum
+{
+  READ_RUNNING,
+  READ_FINAL,
+  READ_LEADER
+} Stage;
+
 typedef struct
 {
   MhCore *core;
   guint64 id;
   char *job;
   MhUserVerb verb;
-  bool final;     /* reading the final record */
-  bool in_charge; /* memory says that the job is not unfinished */
-  bool settled;   /* answered, or another lookup will */
+  Stage stage;
+  bool in_charge;
+  MhUserAnswer found; /* to be given if there is no leader */
+  bool settled;       /* answered, or another lookup will */
 } Lookup;
 
 static void
@@ -583,73 +595,81 @@
   g_free (l);
 }
 
-static void
-lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
+static void lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
 
 static void
-lookup_send (MhCore *core, guint64 id, const char *job, MhUserVerb verb, bool final, bool in_charge)
-{
-  Lookup *l = g_new0 (Lookup, 1);
-  l->core = core;
-  l->id = id;
-  l->job = g_strdup (job);
-  l->verb = verb;
-  l->final = final;
-  l->in_charge = in_charge;
-  g_autofree char *key = g_strconcat (final ? "f/" : "j/", job, NULL);
-  mh_core_call (core, verb == MH_USER_WITHDRAW ? MH_RANK_RULES : MH_RANK_STRANGER,
+lookup_send (const Lookup *from, Stage stage)
+{
+  Lookup *l = g_memdup2 (from, sizeof *from);
+  l->job = g_strdup (from->job);
+  l->stage = stage;
+  l->settled = false;
+  g_autofree char *key = stage == READ_LEADER
+                             ? g_strdup ("leader")
+                             : g_strconcat (stage == READ_FINAL ? "f/" : "j/", l->job, NULL);
+  mh_core_call (l->core, l->verb == MH_USER_WITHDRAW ? MH_RANK_RULES : MH_RANK_STRANGER,
                 mh_wire_get (key), 0, CALL_TIMEOUT_US, lookup_reply, l, lookup_free);
 }
 
-/* Without a usable leader: an unfinished job is known by its record, which says what its user may
-   have been told. The running record is read first, since a job moves from there to the final one
-   and never back. */
 static void
-answer_from_record (MhCore *core, const Lookup *l, const MhEntry *e)
+lookup_answer (Lookup *l, const MhUserAnswer *a)
+{
+  l->settled = true;
+  mh_core_act (l->core, MH_ACTION_ANSWER_USER, l->id)->answer = *a;
+}
+
+/* What the record says, or 404; false when nothing can be told. */
+static bool
+read_found (Lookup *l, guint status, const MhEntry *e)
 {
   gint64 at;
   bool cancelled;
+  if (status == 404)
+    {
+      l->found = (MhUserAnswer){ .status = l->verb == MH_USER_SUBMIT ? 422 : 404 };
+      return true;
+    }
+  if (e == NULL)
+    return false;
+  if (l->stage == READ_FINAL)
+    return mh_record_read_final (e->value, &l->found);
   g_autoptr (MhJobSpec) spec = mh_record_read_job (e->value, l->job, &at, &cancelled);
-  MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_USER, l->id);
-  if (spec)
-    a->answer
-        = (MhUserAnswer){ .status = 200, .state = cancelled ? MH_JOB_CANCELLED : MH_JOB_PENDING };
-  else
-    a->answer = (MhUserAnswer){ .status = 503, .retry_after_s = 1 };
+  l->found
+      = (MhUserAnswer){ .status = 200, .state = cancelled ? MH_JOB_CANCELLED : MH_JOB_PENDING };
+  return spec != NULL;
 }
 
 static void
 lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
   Lookup *l = data;
-  MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
-  MhUserAnswer final;
-  l->settled = true;
-  if (e && l->final && mh_record_read_final (e->value, &final))
+  if (l->stage == READ_LEADER)
     {
-      mh_core_final (core, l->job, &final);
-      mh_core_act (core, MH_ACTION_ANSWER_USER, l->id)->answer = final;
+      if (status == 404)
+        lookup_answer (l, &l->found);
+      return;
     }
-  else if (e && !l->final)
-    answer_from_record (core, l, e);
-  else if (status == 404 && !l->final)
-    lookup_send (core, l->id, l->job, l->verb, true, false);
-  /* A leader's "never heard of it" rests on memory too: it must still have been in charge. */
-  else if (status == 404 && (!l->in_charge || mh_leader_valid (core)))
-    mh_core_answer (core, l->id, l->verb == MH_USER_SUBMIT ? 422 : 404, 0);
-  else
-    mh_core_answer (core, l->id, 503, 1);
+  MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
+  bool found = read_found (l, status, e);
   mh_entry_free (e);
+  if (!found)
+    return;
+  if (l->in_charge)
+    {
+      /* "Never heard of it" rests on memory too: the leader must still be one. */
+      if (status == 200 || mh_leader_valid (core))
+        lookup_answer (l, &l->found);
+      if (status == 200)
+        mh_core_final (core, l->job, &l->found);
+      return;
+    }
+  l->settled = true;
+  lookup_send (l, status == 404 && l->stage == READ_RUNNING ? READ_FINAL : READ_LEADER);
 }
 
 void
 mh_store_lookup (MhCore *core, guint64 id, const char *job, MhUserVerb verb, bool in_charge)
 {
-  const MhUserAnswer *final = g_hash_table_lookup (core->finals, job);
-  if (final)
-    {
-      mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
-      return;
-    }
-  lookup_send (core, id, job, verb, in_charge, in_charge);
+  const Lookup l = { .core = core, .id = id, .job = (char *)job, .verb = verb, .in_charge = in_charge };
+  lookup_send (&l, in_charge ? READ_FINAL : READ_RUNNING);
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -673,6 +673,9 @@
   SimUser *u = o->user;
   WorldJob *j = u->job;
   u->answered++;
+  if (g_getenv ("SIM_LOG"))
+    g_print ("%9.3f user %s: verb %d answered %u, state %d, %u done\n", (double)sim->now_us / 1e6,
+             j->spec->id, o->verb, a->status, a->state, a->done);
   u->last_status = a->status;
   if (j->accepted && (a->status == 404 || a->status == 400 || a->status == 422))
     rule (sim, "forgotten", u, a);
--- a/tests/world.c
+++ b/tests/world.c
@@ -628,23 +628,22 @@
   w->starts++;
 }
 
-static WorldTask *
-find_task (WorldMachine *m, const char *leg)
-{
-  for (guint i = 0; i < m->tasks->len; i++)
-    if (strcmp (g_array_index (m->tasks, WorldTask, i).leg, leg) == 0)
-      return &g_array_index (m->tasks, WorldTask, i);
-  return NULL;
-}
-
 static void
 run (World *w, WorldMachine *m, const char *leg, guint64 attempt)
 {
   g_auto (GStrv) parts = g_strsplit (leg, "/", 2);
   WorldJob *j = g_hash_table_lookup (w->jobs, parts[0]);
-  WorldTask *there = find_task (m, leg);
-  if (there && there->attempt == attempt)
-    return;
+  /* An earlier attempt that has ended stays listed beside a later one until it is cleared. */
+  bool in_use = false;
+  for (guint i = 0; i < m->tasks->len; i++)
+    {
+      const WorldTask *o = &g_array_index (m->tasks, WorldTask, i);
+      if (strcmp (o->leg, leg) != 0)
+        continue;
+      if (o->attempt == attempt)
+        return;
+      in_use |= o->phase != MH_TASK_ENDED;
+    }
   WorldTask t = { .leg = g_strdup (leg),
                   .job = g_strdup (parts[0]),
                   .index = (guint)atoi (parts[1]),
@@ -662,7 +661,7 @@
     }
   if (j == NULL)
     t.cause = "no_such";
-  else if (there && there->phase != MH_TASK_ENDED)
+  else if (in_use)
     t.cause = "in_use";
   else if (cpus + j->spec->cpus > type_cpus (m->type) + 1e-6
            || mem + j->spec->mem_gb > type_mem (m->type) + 1e-6)
