--- a/src/store.c
+++ b/src/store.c
@@ -561,10 +561,10 @@
 
 /* ---- reads for users ---- */
 
-/* Without a leader: the running record, then the final one (a job moves from the first to the second
-   and never back), and at last the leader's key. Only if that is absent may the answer be given: a
-   leader that holds it may not know yet that its own last write was carried out, and would tell the
-   same user something older. In charge, only the final record is left to read. */
+/* Without a leader: the running record, then the final one (a job moves from the first to the
+   second and never back), and at last the leader's key. Only if that is absent may the answer be
+   given: a leader that holds it may not know yet that its own last write was carried out, and would
+   tell the same user something older. In charge, only the final record is left to read. */
 typedef enum
 {
   READ_RUNNING,
@@ -595,7 +595,8 @@
   g_free (l);
 }
 
-static void lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
+static void
+lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
 
 static void
 lookup_send (const Lookup *from, Stage stage)
@@ -670,6 +671,7 @@
 void
 mh_store_lookup (MhCore *core, guint64 id, const char *job, MhUserVerb verb, bool in_charge)
 {
-  const Lookup l = { .core = core, .id = id, .job = (char *)job, .verb = verb, .in_charge = in_charge };
+  const Lookup l
+      = { .core = core, .id = id, .job = (char *)job, .verb = verb, .in_charge = in_charge };
   lookup_send (&l, in_charge ? READ_FINAL : READ_RUNNING);
 }
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -445,6 +445,38 @@
   finish (sim);
 }
 
+/* The leader's last write is carried out, but it does not hear of it; another controller, which
+   does not know who leads, reads the record. The user must not be told "done" and then something
+   older. */
+static void
+test_no_answer_past_the_leader (void)
+{
+  Sim *sim = sim_new (25);
+  MhUserAnswer a;
+  SimUser *u = sim_submit (sim, sim_spec (1, MH_SHAPE_ARRAY, 1, 1), 3);
+  WAIT (sim, 30, all_run, u);
+  SimNode *leader = sim_leader (sim);
+  guint other = (leader->index + 1) % SIM_NODES;
+  /* The other one starts afresh, deaf to its peers, with its first look at the leader's key lost.
+   */
+  sim->nodes[other].peers_cut_us = sim->now_us + 60 * MH_SECOND_US;
+  for (guint i = 0; i < 200 && !u->told_done; i++)
+    {
+      sim_stop_node (sim, other);
+      sim_start_node (sim, other);
+      leader->answers_cut_us = sim->now_us + MH_SECOND_US / 5;
+      if (sim_ask (sim, other, MH_USER_STATUS, "j-000001", NULL, &a) == 200
+          && a.state == MH_JOB_DONE)
+        {
+          sim_ask (sim, leader->index, MH_USER_STATUS, "j-000001", NULL, &a);
+          g_assert_true (a.status != 200 || a.state == MH_JOB_DONE);
+        }
+      sim_run (sim, 0.05);
+    }
+  WAIT (sim, 30, told_done, u);
+  finish (sim);
+}
+
 /* ---- troubles of tasks and machines ---- */
 
 static void
@@ -559,6 +591,7 @@
   ADD ("leader-cut-and-deaf", test_leader_cut_and_deaf);
   ADD ("state-outage", test_state_outage);
   ADD ("cancel-behind-old-leader", test_cancel_behind_old_leader);
+  ADD ("no-answer-past-the-leader", test_no_answer_past_the_leader);
   ADD ("sick-machine", test_sick_machine);
   ADD ("spread", test_spread);
   ADD ("guarantee", test_guarantee);
