--- a/src/fleet.c
+++ b/src/fleet.c
@@ -489,7 +489,8 @@
       a->seen = a->present = true;
       a->phase = t->phase;
       set_running (core, a, t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING);
-      if (t->phase != MH_TASK_FETCHING)
+      /* One that was stopped while it waited for its image ends without it. */
+      if (t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING || t->cause == MH_CAUSE_DONE)
         mh_fleet_cache (m, job->spec->image, job->spec->image_gb);
       if (t->phase != MH_TASK_ENDED)
         return;
--- a/src/place.c
+++ b/src/place.c
@@ -15,6 +15,7 @@
 #define MUCH_DEARER 2
 /* Machines on which an array would miss the aim for its start by its image come last. */
 #define TOO_LATE 1000
+#define RANK_LOSS 3
 #define LATE_STEP_US (10 * MH_SECOND_US)
 
 bool
@@ -507,14 +508,21 @@
   return wants->guaranteed && strcmp (holds->spec->team, wants->spec->team) != 0;
 }
 
+/* Work done again, by the cpu; that of higher rank counts more, else the same arrays are stopped
+   time and again while lesser ones run. */
+static double
+loss_of (const MhCore *core, const MhAttempt *a)
+{
+  const MhJobSpec *s = a->job->spec;
+  double ran = a->running_us ? (double)(core->now.mono_us - a->running_us) / MH_SECOND_US : 0;
+  return s->cpus * (1 + ran) * (1 + RANK_LOSS * s->priority);
+}
+
 static gint
-by_loss (gconstpointer a, gconstpointer b)
+by_loss (gconstpointer a, gconstpointer b, gpointer core)
 {
-  const MhAttempt *x = *(MhAttempt *const *)a, *y = *(MhAttempt *const *)b;
-  /* The youngest has the least to lose. */
-  gint64 sx = x->running_us ? x->running_us : G_MAXINT64;
-  gint64 sy = y->running_us ? y->running_us : G_MAXINT64;
-  return sx > sy ? -1 : sx < sy ? 1 : (gint)x->index - (gint)y->index;
+  double x = loss_of (core, *(MhAttempt *const *)a), y = loss_of (core, *(MhAttempt *const *)b);
+  return x < y ? -1 : x > y;
 }
 
 /* Room that is being freed already counts, so that one need is not met twice. */
@@ -575,7 +583,7 @@
       for (guint j = 0; j < m->attempts->len; j++)
         if (may_stop (p->job, g_ptr_array_index (m->attempts, j)))
           g_ptr_array_add (able, g_ptr_array_index (m->attempts, j));
-      g_ptr_array_sort (able, by_loss);
+      g_ptr_array_sort_with_data (able, by_loss, p->core);
       g_autoptr (GPtrArray) victims = g_ptr_array_new ();
       double loss = (double)c->wait_us / MH_SECOND_US;
       for (guint j = 0; j < able->len && !room_after (m, s, cpus, mem); j++)
@@ -583,10 +591,7 @@
           MhAttempt *a = g_ptr_array_index (able, j);
           cpus += a->job->spec->cpus;
           mem += a->job->spec->mem_gb;
-          loss += a->job->spec->cpus
-                  * (a->running_us
-                         ? 1 + (double)(p->core->now.mono_us - a->running_us) / MH_SECOND_US
-                         : 1);
+          loss += loss_of (p->core, a);
           g_ptr_array_add (victims, a);
         }
       if (!room_after (m, s, cpus, mem) || loss >= best_loss)
