--- a/src/core-private.h
+++ b/src/core-private.h
@@ -197,7 +197,7 @@
   bool release_sent;
   bool gone;       /* confirmed released */
   bool probing;    /* being asked whether it is alive */
-  guint deaf;     /* probes in a row without an answer */
+  guint deaf;      /* probes in a row without an answer */
   gint64 hello_us; /* of the last report that it sent by itself */
   bool running;    /* listed as such */
   const char *why; /* of the release */
@@ -219,6 +219,12 @@
   gint64 gone_us;
 };
 
+static inline MhAttempt *
+mh_machine_attempt (const MhMachine *machine, guint index)
+{
+  return g_ptr_array_index (machine->attempts, index);
+}
+
 MhMachine *
 mh_fleet_machine (MhCore *core, const char *name);
 MhMachine *
@@ -233,6 +239,8 @@
 mh_fleet_image_wait (const MhCore *core, const MhMachine *machine, const char *image, double gb);
 guint
 mh_fleet_replicas (const MhMachine *machine); /* of services, on it */
+double
+mh_fleet_hourly (const MhMachine *machine); /* its price; the type must be known */
 void
 mh_fleet_clear (MhCore *core);
 void
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -108,7 +108,7 @@
     {
       MhMachine *m = value;
       for (guint i = 0; i < m->attempts->len; i++)
-        g_free (g_ptr_array_index (m->attempts, i));
+        g_free (mh_machine_attempt (m, i));
     }
   g_hash_table_remove_all (core->machines);
   g_hash_table_remove_all (core->team_use);
@@ -161,7 +161,7 @@
   double rate = m->type && m->type->fetch_gb_per_s > 0 ? m->type->fetch_gb_per_s : 1, others = 0;
   for (guint i = 0; i < m->attempts->len; i++)
     {
-      const MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      const MhAttempt *a = mh_machine_attempt (m, i);
       const MhJobSpec *s = a->job->spec;
       if (a->kill || a->phase != MH_TASK_FETCHING || mh_fleet_cached (m, s->image))
         continue;
@@ -172,9 +172,7 @@
         return (gint64)(left / rate * MH_SECOND_US);
       bool counted = false;
       for (guint k = 0; k < i && !counted; k++)
-        counted
-            = strcmp (((MhAttempt *)g_ptr_array_index (m->attempts, k))->job->spec->image, s->image)
-              == 0;
+        counted = strcmp (mh_machine_attempt (m, k)->job->spec->image, s->image) == 0;
       if (!counted)
         others += left;
     }
@@ -213,12 +211,18 @@
   g_ptr_array_add (m->cache, c); /* the last one used stands last */
 }
 
+double
+mh_fleet_hourly (const MhMachine *m)
+{
+  return m->spot ? m->type->spot_price : m->type->price;
+}
+
 guint
 mh_fleet_replicas (const MhMachine *m)
 {
   guint n = 0;
   for (guint i = 0; i < m->attempts->len; i++)
-    n += ((MhAttempt *)g_ptr_array_index (m->attempts, i))->job->spec->shape == MH_SHAPE_SERVICE;
+    n += mh_machine_attempt (m, i)->job->spec->shape == MH_SHAPE_SERVICE;
   return n;
 }
 
@@ -542,7 +546,7 @@
   settle_loose (m);
 
   for (guint i = 0; i < m->attempts->len; i++)
-    ((MhAttempt *)g_ptr_array_index (m->attempts, i))->present = false;
+    mh_machine_attempt (m, i)->present = false;
   g_array_set_size (m->strays, 0);
   for (guint i = 0; i < r->tasks->len; i++)
     observe_task (core, m, &g_array_index (r->tasks, MhReportTask, i));
@@ -551,7 +555,7 @@
   if (hello)
     for (guint i = m->attempts->len; i-- > 0;)
       {
-        MhAttempt *a = g_ptr_array_index (m->attempts, i);
+        MhAttempt *a = mh_machine_attempt (m, i);
         if (a->present || !proven_gone (core, a))
           continue;
         mh_info (core, "task %s/%u: attempt %u is gone from %s", a->job->spec->id, a->index,
@@ -593,7 +597,7 @@
   gint64 now = core->now.mono_us;
   for (guint i = 0; i < m->attempts->len; i++)
     {
-      MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      MhAttempt *a = mh_machine_attempt (m, i);
       const char *job = a->job->spec->id;
       if (a->kill && !(direct && a->killed_us))
         {
@@ -664,7 +668,7 @@
 {
   for (guint i = 0; i < m->attempts->len; i++)
     {
-      MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      MhAttempt *a = mh_machine_attempt (m, i);
       if (a->index == o->index && a->attempt == o->attempt
           && strcmp (a->job->spec->id, o->job) == 0)
         return a;
@@ -930,7 +934,7 @@
   gint64 left = m->notice_until_us - core->now.mono_us;
   for (guint i = m->attempts->len; i-- > 0;)
     {
-      MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      MhAttempt *a = mh_machine_attempt (m, i);
       const MhJobSpec *s = a->job->spec;
       if (a->kill)
         continue;
--- a/src/place.c
+++ b/src/place.c
@@ -294,7 +294,7 @@
 static double
 unit_price (const MhMachine *m)
 {
-  return (m->spot ? m->type->spot_price : m->type->price) / MAX (m->type->cpus, 1e-3);
+  return mh_fleet_hourly (m) / MAX (m->type->cpus, 1e-3);
 }
 
 /* For an array, what a cpu of the machine costs while the task waits for its image and runs. For a
@@ -423,23 +423,17 @@
   return !p->spread || p->soft || mh_spread_hard_fits (zones, p->zones->len, zone, p->max_skew);
 }
 
-static double
-hourly (const MhMachine *m)
-{
-  return m->spot ? m->type->spot_price : m->type->price;
-}
-
 /* A replica may keep its machine for long after everything else on it has ended. */
 static void
 mark_dear (Placing *p)
 {
   double least = G_MAXDOUBLE;
   for (guint i = 0; i < p->candidates->len; i++)
-    least = MIN (least, hourly (g_array_index (p->candidates, Candidate, i).machine));
+    least = MIN (least, mh_fleet_hourly (g_array_index (p->candidates, Candidate, i).machine));
   for (guint i = 0; i < p->candidates->len; i++)
     {
       Candidate *c = &g_array_index (p->candidates, Candidate, i);
-      c->dear = hourly (c->machine) > MUCH_DEARER * least;
+      c->dear = mh_fleet_hourly (c->machine) > MUCH_DEARER * least;
     }
 }
 
@@ -539,7 +533,7 @@
   *cpus = *mem = 0;
   for (guint i = 0; i < m->attempts->len; i++)
     {
-      const MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      const MhAttempt *a = mh_machine_attempt (m, i);
       if (a->kill)
         {
           *cpus += a->job->spec->cpus;
@@ -581,8 +575,8 @@
         }
       g_autoptr (GPtrArray) able = g_ptr_array_new ();
       for (guint j = 0; j < m->attempts->len; j++)
-        if (may_stop (p->job, g_ptr_array_index (m->attempts, j)))
-          g_ptr_array_add (able, g_ptr_array_index (m->attempts, j));
+        if (may_stop (p->job, mh_machine_attempt (m, j)))
+          g_ptr_array_add (able, mh_machine_attempt (m, j));
       g_ptr_array_sort_with_data (able, by_loss, p->core);
       g_autoptr (GPtrArray) victims = g_ptr_array_new ();
       double loss = (double)c->wait_us / MH_SECOND_US;
--- a/src/scale.c
+++ b/src/scale.c
@@ -217,12 +217,6 @@
   double cpus, gpus, mem;
 } Room;
 
-static double
-hourly (const MhMachine *m)
-{
-  return m->spot ? m->type->spot_price : m->type->price;
-}
-
 static bool
 fits_elsewhere (MhCore *core, const MhMachine *m)
 {
@@ -249,7 +243,7 @@
     return false;
   for (guint i = 0; i < m->attempts->len; i++)
     {
-      const MhAttempt *a = g_ptr_array_index (m->attempts, i);
+      const MhAttempt *a = mh_machine_attempt (m, i);
       const MhJobSpec *s = a->job->spec;
       if (s->shape != MH_SHAPE_SERVICE)
         continue; /* it ends by itself */
@@ -291,7 +285,7 @@
         m->draining = false;
       if (!steady (m) || m->attempts->len == 0)
         continue;
-      double waste = hourly (m) * (1 - m->used_cpus / m->type->cpus);
+      double waste = mh_fleet_hourly (m) * (1 - m->used_cpus / m->type->cpus);
       if (m->draining)
         {
           best = m;
@@ -311,10 +305,10 @@
              best->used_cpus, best->type->cpus);
   best->draining = true;
   for (guint i = 0; i < best->attempts->len; i++)
-    if (((MhAttempt *)g_ptr_array_index (best->attempts, i))->job->spec->shape != MH_SHAPE_SERVICE
-        || ((MhAttempt *)g_ptr_array_index (best->attempts, i))->kill)
+    if (mh_machine_attempt (best, i)->job->spec->shape != MH_SHAPE_SERVICE
+        || mh_machine_attempt (best, i)->kill)
       return;
-  MhAttempt *a = g_ptr_array_index (best->attempts, 0);
+  MhAttempt *a = mh_machine_attempt (best, 0);
   mh_fleet_kill (core, a, a->job->spec->checkpoint_us > 0 ? a->job->spec->save_us : 0);
 }
 
@@ -536,7 +530,7 @@
         continue;
       for (guint i = 0; i < m->attempts->len; i++)
         {
-          const MhAttempt *a = g_ptr_array_index (m->attempts, i);
+          const MhAttempt *a = mh_machine_attempt (m, i);
           const MhJobSpec *s = a->job->spec;
           if (s->shape == MH_SHAPE_SERVICE)
             continue;
@@ -707,7 +701,7 @@
       if (m->gone)
         continue;
       leaving += m->releasing;
-      an_hour += m->type ? hourly (m) : 0;
+      an_hour += m->type ? mh_fleet_hourly (m) : 0;
       live += m->reported && !m->releasing;
       coming += !m->reported && !m->releasing;
       idle += m->reported && !m->releasing && m->attempts->len == 0;
