--- a/src/core.c
+++ b/src/core.c
@@ -4,6 +4,8 @@
 
 /* Finished jobs whose answer is kept in memory; others are read when they are asked for. */
 #define FINALS_KEPT 2000u
+/* A node that has had no usable leader for so long is rather cut off by itself. */
+#define READY_US (30 * MH_SECOND_US)
 
 void
 mh_action_free (MhAction *a)
@@ -374,9 +376,10 @@
 bool
 mh_core_ready (const MhCore *core)
 {
-  /* An ordinary change of leader must not make the load balancer drop the node. */
+  /* Neither an ordinary change of leader nor an outage of the state service must make the load
+     balancer drop the node: every other would be dropped with it, and be taken back late. */
   return core->leader.usable_us > 0
-         && core->now.mono_us - core->leader.usable_us < 10 * MH_SECOND_US;
+         && core->now.mono_us - core->leader.usable_us < READY_US;
 }
 
 bool
--- a/src/place.c
+++ b/src/place.c
@@ -352,7 +352,8 @@
   const MhJobSpec *s = p->job->spec;
   for (guint i = 0; i < p->zones->len; i++)
     g_array_index (p->zones, MhZoneCount, i).count = 0;
-  if (p->job->n_live == 0)
+  /* Counting walks all tasks of the job; most arrays need no counts. */
+  if (p->job->n_live == 0 || !(p->spread || s->one_zone || s->scatter))
     return;
   for (guint i = 0; i < s->tasks; i++)
     if (p->job->tasks[i].live && p->job->tasks[i].live->machine->zone)
