--- a/src/core.c
+++ b/src/core.c
@@ -378,8 +378,7 @@
 {
   /* Neither an ordinary change of leader nor an outage of the state service must make the load
      balancer drop the node: every other would be dropped with it, and be taken back late. */
-  return core->leader.usable_us > 0
-         && core->now.mono_us - core->leader.usable_us < READY_US;
+  return core->leader.usable_us > 0 && core->now.mono_us - core->leader.usable_us < READY_US;
 }
 
 bool
--- a/src/scale.c
+++ b/src/scale.c
@@ -578,7 +578,7 @@
   /* What a rented machine cannot bring in time any more does not call for one; only a backlog that
      would outlast its boot does. */
   if (latest < now + soonest)
-    latest = now + 3 * soonest;
+    latest = now + 2 * soonest;
   while (*cpus < s->cpus && *next < endings->len
          && g_array_index (endings, Ending, *next).at_us <= latest)
     {
