--- a/tests/sim.c
+++ b/tests/sim.c
@@ -172,9 +172,9 @@
   SimNode *n = &sim->nodes[f->node];
   f->status = status;
   f->body = body;
-  if (lost (sim)
-      || (f->request->target == MH_TARGET_STATE
-          && sim->now_us < MAX (n->state_cut_us, n->answers_cut_us)))
+  bool write = strcmp (f->request->path, "/multi") == 0;
+  if (lost (sim) || (f->request->target == MH_TARGET_STATE && sim->now_us < n->state_cut_us)
+      || (write && sim->now_us < n->write_answers_lost_us))
     return;
   at (sim, sim->now_us + delay (sim), flight_deliver, g_rc_box_acquire (f), flight_unref);
 }
@@ -234,6 +234,8 @@
     }
   if (r->target == MH_TARGET_STATE && sim->now_us < sim->nodes[f->node].state_cut_us)
     return;
+  if (strcmp (r->path, "/multi") == 0 && sim->now_us < sim->nodes[f->node].writes_lost_us)
+    return;
   guint64 token = (guint64)(gsize)f;
   if (world_serve (sim->world, r->target, r->method, r->path, r->body, token, &status, &reply))
     flight_answer (sim, f, status, reply);
@@ -593,6 +595,15 @@
   node_drain (n);
 }
 
+void
+sim_late_report (Sim *sim, SimNode *n, const MhValue *report)
+{
+  Hello h = { .worker = g_ptr_array_index (sim->workers, 0),
+              .node = n->index,
+              .body = (MhValue *)report };
+  hello_arrive (sim, &h);
+}
+
 static guint64
 signature (const WorldMachine *m)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -22,7 +22,8 @@
   GHashTable *requests;
   gint64 wake_us;
   gint64 state_cut_us, peers_cut_us, workers_cut_us; /* cut off until */
-  gint64 answers_cut_us; /* the state service hears it, but not the other way round: until */
+  /* Its transactions are lost on the way, or carried out without an answer: until. */
+  gint64 writes_lost_us, write_answers_lost_us;
 } SimNode;
 
 typedef struct
@@ -82,6 +83,9 @@
 sim_leader (Sim *sim); /* NULL: none that is valid */
 void
 sim_release_commands (Sim *sim);
+/* Hands a report to a node, as if it had been on its way for long. */
+void
+sim_late_report (Sim *sim, SimNode *node, const MhValue *report);
 
 MhJobSpec *
 sim_spec (guint number, MhShape shape, guint tasks, double cpus);
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -210,13 +210,20 @@
 test_late_command (void)
 {
   Sim *sim = sim_new (7);
-  running_service (sim, 1, 1); /* a machine that is up */
+  running_service (sim, 1, 1); /* a machine that is up, with the image */
+  SimWorker *w = worker_of (sim, "j-000001/0");
   sim->hold_commands = true;
-  SimUser *u = sim_submit (sim, sim_spec (3, MH_SHAPE_ARRAY, 1, 1), 1);
+  SimUser *u = sim_submit (sim, sim_spec (4, MH_SHAPE_ARRAY, 1, 1), 0.2);
+  w->next_us = sim->now_us + MH_SECOND_US / 2;
   /* The start comes with a report's response, the task ends, and the direct start is still on its
      way. Until a new epoch fences it the ended attempt stays on the machine. */
   WAIT (sim, 30, told_done, u);
-  sim_run (sim, 1.5); /* time enough for a clear that should not be sent */
+  /* Reports enough for a clear that should not be sent. */
+  for (guint i = 0; i < 4; i++)
+    {
+      w->next_us = sim->now_us;
+      sim_run (sim, 0.3);
+    }
   g_assert_false (sim_logged (sim, "epoch raised"));
   guint starts = sim->world->starts;
   sim_release_commands (sim);
@@ -314,6 +321,74 @@
   finish (sim);
 }
 
+/* A start that is not on record is not ordered. */
+static void
+test_start_waits_for_its_record (void)
+{
+  Sim *sim = sim_new (26);
+  SimUser *u = sim_submit (sim, sim_spec (1, MH_SHAPE_SERVICE, 1, 1), 0);
+  WAIT (sim, 30, accepted, u);
+  SimNode *leader = sim_leader (sim);
+  leader->writes_lost_us = sim->now_us + 15 * MH_SECOND_US;
+  sim_run (sim, 14);
+  g_assert_true (sim_leader (sim) == leader);
+  g_assert_cmpuint (sim->world->starts, ==, 0);
+  WAIT (sim, 10, all_run, u);
+  finish (sim);
+}
+
+/* A result that is not on record is not cleared from its machine, and no cancellation is told. */
+static void
+test_result_waits_for_its_record (void)
+{
+  Sim *sim = sim_new (27);
+  MhUserAnswer a;
+  SimUser *service = running_service (sim, 1, 1);
+  SimUser *u = sim_submit (sim, sim_spec (4, MH_SHAPE_ARRAY, 2, 1), 3);
+  WAIT (sim, 30, all_run, u);
+  SimNode *leader = sim_leader (sim);
+  leader->writes_lost_us = sim->now_us + 12 * MH_SECOND_US;
+  sim_run (sim, 6);
+  sim_withdraw (service);
+  sim_run (sim, 4);
+  g_assert_true (sim_leader (sim) == leader);
+  g_assert_nonnull (worker_of (sim, "j-000004/0"));
+  g_assert_nonnull (worker_of (sim, "j-000004/1"));
+  g_assert_false (u->told_done || service->told_cancelled);
+  sim_ask (sim, leader->index, MH_USER_STATUS, "j-000001", NULL, &a);
+  g_assert_cmpint (a.state, !=, MH_JOB_CANCELLED);
+  WAIT (sim, 20, told_done, u);
+  WAIT (sim, 20, told_cancelled, service);
+  finish (sim);
+}
+
+/* A report that was sent before a start was carried out reaches a new leader late. That it does not
+   show the attempt proves nothing: the worker has not seen the epoch that fences the start. */
+static void
+test_late_report_proves_nothing (void)
+{
+  Sim *sim = sim_new (28);
+  for (guint i = 0; i < 2; i++)
+    world_add_machine (sim->world, "large", "a", false);
+  sim_run (sim, 10);
+  WorldMachine *first = g_ptr_array_index (sim->world->machines, 0);
+  WorldMachine *second = g_ptr_array_index (sim->world->machines, 1);
+  g_autoptr (MhValue) of_first = world_report (sim->world, first);
+  g_autoptr (MhValue) of_second = world_report (sim->world, second);
+  SimUser *u = sim_submit (sim, sim_spec (4, MH_SHAPE_SERVICE, 1, 1), 0);
+  WAIT (sim, 30, all_run, u);
+  for (guint i = 0; i < sim->workers->len; i++)
+    ((SimWorker *)g_ptr_array_index (sim->workers, i))->mute_us = sim->now_us + 8 * MH_SECOND_US;
+  sim_stop_node (sim, sim_leader (sim)->index);
+  WAIT (sim, 10, has_leader, NULL);
+  sim_run (sim, 0.3);
+  sim_late_report (sim, sim_leader (sim), of_first);
+  sim_late_report (sim, sim_leader (sim), of_second);
+  sim_run (sim, 30); /* the world checks that nothing runs twice */
+  g_assert_cmpuint (sim->world->starts, ==, 1);
+  finish (sim);
+}
+
 /* A worker whose lease ran out has a new tenure: proof by itself. */
 static void
 test_new_tenure (void)
@@ -437,6 +512,7 @@
   SimUser *u = running_service (sim, 1, 2);
   SimNode *old = sim_leader (sim);
   old->state_cut_us = old->peers_cut_us = sim->now_us + 200 * MH_SECOND_US;
+  sim->world->cloud_outage_until_us = sim->now_us + 200 * MH_SECOND_US; /* no machine is released */
   sim_run (sim, 3);
   sim_withdraw (u);
   WAIT (sim, 20, told_cancelled, u);
@@ -464,7 +540,7 @@
     {
       sim_stop_node (sim, other);
       sim_start_node (sim, other);
-      leader->answers_cut_us = sim->now_us + MH_SECOND_US / 5;
+      leader->write_answers_lost_us = sim->now_us + MH_SECOND_US / 2;
       if (sim_ask (sim, other, MH_USER_STATUS, "j-000001", NULL, &a) == 200
           && a.state == MH_JOB_DONE)
         {
@@ -584,6 +660,9 @@
   ADD ("quota-unreachable", test_quota_unreachable);
   ADD ("silence-is-asked-about", test_silence_is_asked_about);
   ADD ("proof-is-kept", test_proof_is_kept);
+  ADD ("start-waits-for-its-record", test_start_waits_for_its_record);
+  ADD ("result-waits-for-its-record", test_result_waits_for_its_record);
+  ADD ("late-report-proves-nothing", test_late_report_proves_nothing);
   ADD ("new-tenure", test_new_tenure);
   ADD ("leader-crash", test_leader_crash);
   ADD ("all-crash", test_all_crash);
