A new leader asks the machines that it knows for their reports

Cause: workers find a new leader after up to 4 s, and until then nothing could be placed on their machines.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -875,6 +875,9 @@
     }
   if (m->attempts->len || m->running)
     {
+      /* A new leader does not wait for the workers to find it, where it knows their address. */
+      if (m->endpoint && !m->probing && m->deaf == 0)
+        probe (core, m);
       if (now - MAX (core->leader.since_us, m->known_us) > patience->unseen_us)
         mh_scale_release (core, m, "silent since the change of leader");
       return;
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -321,6 +321,22 @@
   finish (sim);
 }
 
+/* A new leader asks the machines that it knows, and places before their workers have found it. */
+static void
+test_new_leader_asks (void)
+{
+  Sim *sim = sim_new (29);
+  running_service (sim, 1, 1);
+  sim_run (sim, 10); /* the cloud lists the machine */
+  for (guint i = 0; i < sim->workers->len; i++)
+    ((SimWorker *)g_ptr_array_index (sim->workers, i))->mute_us = sim->now_us + 10 * MH_SECOND_US;
+  sim_stop_node (sim, sim_leader (sim)->index);
+  WAIT (sim, 10, has_leader, NULL);
+  SimUser *u = sim_submit (sim, sim_spec (4, MH_SHAPE_SERVICE, 1, 1), 0);
+  WAIT (sim, 4, all_run, u);
+  finish (sim);
+}
+
 /* A start that is not on record is not ordered. */
 static void
 test_start_waits_for_its_record (void)
@@ -660,6 +676,7 @@
   ADD ("quota-unreachable", test_quota_unreachable);
   ADD ("silence-is-asked-about", test_silence_is_asked_about);
   ADD ("proof-is-kept", test_proof_is_kept);
+  ADD ("new-leader-asks", test_new_leader_asks);
   ADD ("start-waits-for-its-record", test_start_waits_for_its_record);
   ADD ("result-waits-for-its-record", test_result_waits_for_its_record);
   ADD ("late-report-proves-nothing", test_late_report_proves_nothing);
