A job too large for its record is refused; unused fields gone

Found by reading: a submission whose names fill a value of the state service would have been refused there on each write, and each refusal ended a leadership.

--- a/src/core-private.h
+++ b/src/core-private.h
@@ -90,7 +90,6 @@
   gint64 retry_us;    /* no start before */
   gint64 wanted_us;   /* pending and unplaced since; 0: not */
   gint64 start_by_us; /* the latest start that is in time */
-  gint64 final_us;
 };
 
 MhJob *
@@ -145,10 +144,9 @@
   guint index;
   guint32 attempt;
   MhMachine *machine;
-  guint64 need_rev;    /* the record's rev that must be durable before it is ordered */
-  bool loaded;         /* known from a record: what was ordered, nobody here knows */
-  bool ordered;        /* a start may have left this process */
-  guint64 order_epoch; /* highest epoch under which it was ordered */
+  guint64 need_rev; /* the record's rev that must be durable before it is ordered */
+  bool loaded;      /* known from a record: what was ordered, nobody here knows */
+  bool ordered;     /* a start may have left this process */
   guint64 order_tenure;
   guint64 hello_tick; /* report whose response last carried the start; 0: none */
   bool seen;          /* reported on the machine */
@@ -183,7 +181,6 @@
 {
   char *name;
   double gb;
-  guint64 used; /* order of last use */
 } MhCached;
 
 struct MhMachine
@@ -200,7 +197,6 @@
   guint deaf;      /* probes in a row without an answer */
   gint64 hello_us; /* of the last report that it sent by itself */
   bool running;    /* listed as such */
-  const char *why; /* of the release */
   gint64 known_us, rented_us, heard_us, idle_us;
   gint64 notice_until_us; /* -1: no notice */
   guint64 tenure, tick, epoch;
@@ -211,11 +207,9 @@
   guint direct;        /* direct commands without an answer yet */
   guint errors;        /* failed tasks in a row */
   char *error_job;
-  gint64 quarantine_us;
   double used_cpus, used_gpus, used_mem;
   double promised_cpus, promised_mem; /* to tasks that wait for preempted ones, in this pass */
   gint64 hold_us;                     /* no start before: it refused one */
-  guint64 cache_clock;
   gint64 gone_us;
 };
 
@@ -363,7 +357,6 @@
 typedef struct
 {
   guint64 id;
-  MhRank rank;
   MhRequest *request;
   gint64 timeout_us;
   double writes;
--- a/src/core.c
+++ b/src/core.c
@@ -4,6 +4,10 @@
 
 /* Finished jobs whose answer is kept in memory; others are read when they are asked for. */
 #define FINALS_KEPT 2000u
+/* Of a record, in JSON: a task (its number, attempt and machine), and what is neither job nor task.
+ */
+#define TASK_JSON 50
+#define RECORD_JSON 200
 /* A node that has had no usable leader for so long is rather cut off by itself. */
 #define READY_US (30 * MH_SECOND_US)
 
@@ -95,7 +99,6 @@
   call->free = free;
   MhQueued *q = g_new0 (MhQueued, 1);
   q->id = ++core->next_id;
-  q->rank = rank;
   q->request = request;
   q->timeout_us = timeout_us;
   q->writes = writes;
@@ -200,10 +203,22 @@
     }
 }
 
-/* 422: can never run here. 0: can. 503: not known yet. */
+/* The job's record must fit one value of the state service, with all its tasks of the first chunk:
+   one that does not would be refused there time and again, and end each leadership. */
+static bool
+fits_record (MhCore *core, const MhJobSpec *spec)
+{
+  g_autoptr (MhValue) v = mh_wire_write_submission (spec);
+  return mh_value_json_size (v) + mh_job_chunk () * TASK_JSON + RECORD_JSON
+         <= core->settings->value_bytes;
+}
+
+/* 400: too large to keep. 422: can never run here. 0: can. 503: not known yet. */
 static guint
 judge (MhCore *core, const MhJobSpec *spec)
 {
+  if (!fits_record (core, spec))
+    return 400;
   const MhTeam *team = mh_settings_team (core->settings, spec->team);
   if (team == NULL)
     return 422;
@@ -247,7 +262,7 @@
         }
       if (status)
         {
-          mh_core_answer (core, id, status, 1);
+          mh_core_answer (core, id, status, status == 503 ? 1 : 0);
           mh_job_spec_free (spec);
           return;
         }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -611,7 +611,6 @@
         {
           add_order (orders, MH_ORDER_START, job, a->index, a->attempt, 0);
           a->ordered = true;
-          a->order_epoch = core->leader.own_epoch;
           a->order_tenure = m->tenure;
           if (!direct)
             a->hello_tick = m->tick;
--- a/src/scale.c
+++ b/src/scale.c
@@ -31,7 +31,6 @@
   mh_info (core, "machine %s: given back: %s", m->name, why);
   m->releasing = true;
   m->release_sent = false;
-  m->why = why;
 }
 
 void
--- a/src/settings.h
+++ b/src/settings.h
@@ -46,7 +46,7 @@
   GPtrArray *objectives; /* MhObjective */
   gint64 report_us, worker_lease_us, cancel_us, list_lag_us;
   double state_rps, state_write_rps, cloud_rps;
-  guint value_bytes, txn_ops, max_connections;
+  guint value_bytes, txn_ops;
   double core_share; /* of a processor */
   /* the operator's */
   gint64 lease_us;   /* leader's lease in the state service */
--- a/src/toml-file.cpp
+++ b/src/toml-file.cpp
@@ -116,7 +116,6 @@
   s->txn_ops = (guint)CLAMP (number (p["state"]["txn_ops"]), 0.0, 1000.0);
   s->cloud_rps = number (p["cloud"]["rps"]);
   s->list_lag_us = micros (p["cloud"]["list_lag_s"]);
-  s->max_connections = (guint)CLAMP (number (p["resources"]["max_connections"]), 0.0, 1e6);
   double share = number (p["resources"]["core_share"]);
   if (share > 0)
     s->core_share = share;
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -148,6 +148,13 @@
   s = sim_spec (4, MH_SHAPE_ARRAY, 1, 1);
   s->mem_gb = 65;
   g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000004", s, &a), ==, 422);
+  /* Too large for a value of the state service: it once would have ended each leadership in turn.
+   */
+  s = sim_spec (6, MH_SHAPE_ARRAY, 1, 1);
+  s->types = g_new0 (char *, 65);
+  for (guint i = 0; i < 64; i++)
+    s->types[i] = g_strnfill (64, '"');
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000006", s, &a), ==, 400);
   s = sim_spec (5, MH_SHAPE_ARRAY, 17, 1); /* an array counts by the task */
   world_job (sim->world, sim_spec (5, MH_SHAPE_ARRAY, 17, 1), MH_SECOND_US);
   g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000005", s, &a), ==, 201);
