Tidy after a last reading; behaviour unchanged

Patience is worked out once for a job and pass; the key of a kind, the grace of a stop and the keys that failed a transaction each have one place; a parameter, a field and two counters that nothing used are gone; a comment that had fallen behind its code says what it does.

--- a/src/core-private.h
+++ b/src/core-private.h
@@ -102,6 +102,8 @@
 mh_job_pending (const MhJob *job);
 bool
 mh_job_over (const MhJob *job); /* takes no more starts */
+gint64
+mh_job_grace_us (const MhJob *job);
 void
 mh_job_answer (const MhJob *job, MhUserAnswer *answer);
 guint
@@ -344,7 +346,7 @@
 void
 mh_leader_news (MhCore *core, const char *node, guint64 epoch);
 void
-mh_leader_loaded (MhCore *core, bool ok);
+mh_leader_loaded (MhCore *core);
 void
 mh_leader_lost (MhCore *core, const char *why);
 bool
--- a/src/job.c
+++ b/src/job.c
@@ -57,6 +57,13 @@
   return job->cancelled || job->finished || job->n_done == job->spec->tasks;
 }
 
+/* What a task needs to save when it is stopped; one without checkpoints ends at once. */
+gint64
+mh_job_grace_us (const MhJob *job)
+{
+  return job->spec->checkpoint_us > 0 ? job->spec->save_us : 0;
+}
+
 /* Only what is durable may be told: an answer that a successor would take back is never given. */
 void
 mh_job_answer (const MhJob *job, MhUserAnswer *a)
--- a/src/leader.c
+++ b/src/leader.c
@@ -373,13 +373,8 @@
 }
 
 void
-mh_leader_loaded (MhCore *core, bool ok)
+mh_leader_loaded (MhCore *core)
 {
-  if (!ok)
-    {
-      mh_leader_lost (core, "the records cannot be read");
-      return;
-    }
   core->leader.phase = MH_PHASE_LEAD;
   core->leader.rebuilt = false;
   core->place_wanted = true;
--- a/src/place.c
+++ b/src/place.c
@@ -223,8 +223,8 @@
   return jobs;
 }
 
-/* How long a start of the job may still take, by the aims that hold for it; without one, and once
-   it is late, there is no hurry. */
+/* How long a start of the job may still take, by the aims that hold for it. Once it is late there
+   is no hurry. A guarantee without an aim means soon. */
 static gint64
 patience_of (const MhCore *core, const MhJob *job)
 {
@@ -266,7 +266,8 @@
   GArray *zones;      /* MhZoneCount */
   guint max_skew;
   bool soft, spread;
-  guint task; /* next pending */
+  gint64 patience; /* how long a start may still take */
+  guint task;      /* next pending */
 } Placing;
 
 static bool
@@ -372,7 +373,6 @@
   const MhJobSpec *s = p->job->spec;
   GHashTableIter it;
   gpointer value;
-  gint64 patience = patience_of (core, p->job);
   const char *only_zone = s->zone;
   if (s->one_zone)
     for (guint i = 0; i < s->tasks && p->job->n_live; i++)
@@ -400,7 +400,7 @@
       Candidate c = { .machine = m,
                       .zone = zone,
                       .wait_us = mh_fleet_image_wait (core, m, s->image, s->image_gb) };
-      c.cost = walk_cost (s, &c, patience);
+      c.cost = walk_cost (s, &c, p->patience);
       if (s->shape == MH_SHAPE_SERVICE)
         c.replicas = mh_fleet_replicas (m);
       g_array_append_val (p->candidates, c);
@@ -603,7 +603,7 @@
       MhAttempt *a = g_ptr_array_index (best_victims, i);
       mh_info (p->core, "task %s/%u: stopped on %s to make room for %s", a->job->spec->id, a->index,
                best->name, s->id);
-      mh_fleet_kill (p->core, a, a->job->spec->checkpoint_us > 0 ? a->job->spec->save_us : 0);
+      mh_fleet_kill (p->core, a, mh_job_grace_us (a->job));
     }
   promise (best, s);
   return true;
@@ -637,10 +637,10 @@
     }
   if (!counts_known (core, job))
     return;
+  p.patience = patience_of (core, job);
   prepare (&p);
   count_zones (&p);
   rank (&p);
-  gint64 patience = patience_of (core, job);
   while (next_pending (&p) && *starts < STARTS_PER_PASS)
     {
       job->cursor = p.task;
@@ -651,8 +651,8 @@
         break;
       /* A service that would come too late by its image rather takes the room of lesser work where
          the image is. */
-      if (s->shape == MH_SHAPE_SERVICE && c->wait_us > patience && core->leader.rebuilt
-          && *preemptions < PREEMPTIONS_PER_PASS && preempt (&p, MAX (patience, 0)))
+      if (s->shape == MH_SHAPE_SERVICE && c->wait_us > p.patience && core->leader.rebuilt
+          && *preemptions < PREEMPTIONS_PER_PASS && preempt (&p, MAX (p.patience, 0)))
         {
           (*preemptions)++;
           p.task++;
@@ -666,9 +666,9 @@
   /* Machines that have not reported yet may have room; running tasks end by themselves. */
   if (!core->leader.rebuilt || (tier (job) == 3 && s->priority <= MH_PRIORITY_LOW))
     return;
-  if (s->shape != MH_SHAPE_SERVICE && core->now.mono_us - job->wanted_us < patience / 3)
+  if (s->shape != MH_SHAPE_SERVICE && core->now.mono_us - job->wanted_us < p.patience / 3)
     {
-      mh_core_wake_at (core, job->wanted_us + patience / 3);
+      mh_core_wake_at (core, job->wanted_us + p.patience / 3);
       return;
     }
   double cpus = 0;
@@ -676,7 +676,7 @@
     {
       cpus += s->cpus;
       if (!mh_place_quota_fits (core, job, cpus, 0)
-          || !(preempt (&p, patience) || preempt (&p, G_MAXINT64)))
+          || !(preempt (&p, p.patience) || preempt (&p, G_MAXINT64)))
         return;
       (*preemptions)++;
     }
--- a/src/scale.c
+++ b/src/scale.c
@@ -308,7 +308,7 @@
         || mh_machine_attempt (best, i)->kill)
       return;
   MhAttempt *a = mh_machine_attempt (best, 0);
-  mh_fleet_kill (core, a, a->job->spec->checkpoint_us > 0 ? a->job->spec->save_us : 0);
+  mh_fleet_kill (core, a, mh_job_grace_us (a->job));
 }
 
 /* ---- renting ---- */
@@ -323,15 +323,15 @@
 } Virtual;
 
 static char *
-kind_key (const MhMachineType *t, const char *zone, bool spot)
+kind_key (const char *type, const char *zone, bool spot)
 {
-  return g_strdup_printf ("%s/%s/%d", t->name, zone, spot);
+  return g_strdup_printf ("%s/%s/%d", type, zone, spot);
 }
 
 static bool
 is_refused (MhCore *core, const MhMachineType *t, const char *zone, bool spot)
 {
-  g_autofree char *key = kind_key (t, zone, spot);
+  g_autofree char *key = kind_key (t->name, zone, spot);
   gint64 *until = g_hash_table_lookup (core->scale.refused, key);
   return until && core->now.mono_us < *until;
 }
@@ -449,8 +449,7 @@
           bool full = status == 200 || (reason && strcmp (reason, "no capacity") == 0);
           gint64 *until = g_new (gint64, 1);
           *until = core->now.mono_us + (full ? REFUSED_US : 2 * MH_SECOND_US);
-          g_hash_table_insert (core->scale.refused,
-                               g_strdup_printf ("%s/%s/%d", r->type, r->zone, r->spot), until);
+          g_hash_table_insert (core->scale.refused, kind_key (r->type, r->zone, r->spot), until);
           mh_info (core, "renting %u %s%s in %s: %s", r->count - got, r->spot ? "spot " : "",
                    r->type, r->zone, full ? "no capacity" : "refused");
         }
@@ -504,7 +503,7 @@
 typedef struct
 {
   gint64 at_us;
-  double cpus, mem;
+  double cpus;
 } Ending;
 
 static gint
@@ -537,7 +536,7 @@
           gint64 left = a->running_us ? whole - (now - a->running_us)
                                       : whole + mh_place_fetch_us (core, s) - (now - a->placed_us);
           /* One that has outrun its estimate goes on for a part of it. */
-          Ending e = { .at_us = now + MAX (left, whole / 4), .cpus = s->cpus, .mem = s->mem_gb };
+          Ending e = { .at_us = now + MAX (left, whole / 4), .cpus = s->cpus };
           g_array_append_val (endings, e);
         }
     }
@@ -549,7 +548,7 @@
 static void
 add_ending (GArray *endings, guint from, gint64 at_us, const MhJobSpec *s)
 {
-  Ending e = { .at_us = at_us, .cpus = s->cpus, .mem = s->mem_gb };
+  Ending e = { .at_us = at_us, .cpus = s->cpus };
   while (from < endings->len && g_array_index (endings, Ending, from).at_us < at_us)
     from++;
   g_array_insert_val (endings, from, e);
--- a/src/store.c
+++ b/src/store.c
@@ -204,9 +204,8 @@
 }
 
 static void
-txn_refused (MhCore *core, Txn *t, const MhValue *body)
+txn_refused (MhCore *core, Txn *t, char **failed)
 {
-  g_auto (GStrv) failed = mh_wire_read_failed (body);
   core->txns--;
   for (guint i = 0; i < t->writes->len; i++)
     g_array_index (t->writes, Write, i).record->writing = false;
@@ -288,7 +287,7 @@
       if (t->unknown && !leader && t->first_key)
         txn_call (core, t, MH_RANK_RULES, mh_wire_get (t->first_key), 0, recheck_reply);
       else
-        txn_refused (core, t, body);
+        txn_refused (core, t, failed);
     }
   else if (status == 400)
     {
@@ -540,7 +539,7 @@
   else if (strcmp (page->prefix, "j/") == 0)
     load_page (core, "t/", NULL);
   else
-    mh_leader_loaded (core, true);
+    mh_leader_loaded (core);
 }
 
 static void
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -685,7 +685,6 @@
 {
   SimUser *u = o->user;
   WorldJob *j = u->job;
-  u->answered++;
   if (g_getenv ("SIM_LOG"))
     g_print ("%9.3f user %s: verb %d answered %u, state %d, %u done\n", (double)sim->now_us / 1e6,
              j->spec->id, o->verb, a->status, a->state, a->done);
@@ -695,10 +694,7 @@
   if (a->status != 200 && a->status != 201)
     return;
   if (!j->accepted && o->verb == MH_USER_SUBMIT)
-    {
-      j->accepted = true;
-      u->accepted_us = sim->now_us;
-    }
+    j->accepted = true;
   /* An answer to what was asked before the user knew more may be older. */
   if (o->sent_us < u->told_us)
     return;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -44,9 +44,8 @@
   WorldJob *job;
   bool withdraw; /* the user asks for it */
   bool told_done, told_cancelled;
-  guint answered;
   guint last_status;
-  gint64 accepted_us, told_us;
+  gint64 told_us; /* of the last final answer */
 } SimUser;
 
 struct Sim
