--- a/src/core-private.h
+++ b/src/core-private.h
@@ -8,6 +8,11 @@
 typedef struct MhAttempt MhAttempt;
 typedef struct MhRecord MhRecord;
 
+typedef struct
+{
+  double cpus, gpus; /* what may be in use */
+} MhUse;
+
 /* ---- budget: token buckets, and calls that wait for one in order of rank ---- */
 
 typedef struct
@@ -59,6 +64,8 @@
   guint64 stamp;   /* 0: does not exist yet */
   guint64 rev;     /* of memory */
   guint64 durable; /* of the state service */
+  guint urgency;   /* in which queue, while queued */
+  guint again;     /* ... once it is written */
   bool queued, writing;
 };
 
@@ -71,11 +78,14 @@
 struct MhJob
 {
   MhJobSpec *spec;
+  GRefString *image, *zone; /* the spec's, interned: compared by address; zone NULL: any */
   gint64 submitted_wall_us, submitted_us;
   MhTask *tasks;
   MhRecord *records;
-  guint n_records;
+  guint n_records, chunk; /* tasks in one record */
   guint n_done, n_live, n_running;
+  guint n_unheard; /* live attempts on machines that have not reported to this leader */
+  guint n_begun;   /* tasks that were ever given out */
   guint cursor;        /* no pending task below it */
   bool accepted;       /* its first record is durable */
   bool cancelled;      /* the user asked */
@@ -90,10 +100,15 @@
   gint64 retry_us;    /* no start before */
   gint64 wanted_us;   /* pending and unplaced since; 0: not */
   gint64 start_by_us; /* the latest start that is in time */
+  gint64 run_us, fetch_us; /* expected, of a task; kept by the plan of rentals */
+  bool hopeless;      /* no aim can be met any more */
+  bool starved;       /* nothing of it has begun for long */
 };
 
+/* `chunk` 0: as large as values of `value_bytes` take. */
 MhJob *
-mh_job_new (MhJobSpec *spec, gint64 submitted_wall_us, const MhNow *now);
+mh_job_new (MhJobSpec *spec, guint chunk, guint value_bytes, gint64 submitted_wall_us,
+            const MhNow *now);
 void
 mh_job_free (MhJob *job);
 MhRecord *
@@ -106,8 +121,9 @@
 mh_job_grace_us (const MhJob *job);
 void
 mh_job_answer (const MhJob *job, MhUserAnswer *answer);
+/* How many tasks' entries fit a value beside the job itself; 0: the job alone is too large. */
 guint
-mh_job_chunk (void); /* tasks in one record */
+mh_job_chunk (const MhJobSpec *spec, guint value_bytes);
 
 /* ---- record: the stored form ---- */
 
@@ -117,12 +133,13 @@
 mh_record_write (const MhRecord *record, const char *tag);
 MhValue *
 mh_record_write_final (const MhJob *job, const char *tag);
+/* The grant tells an earlier life of the same node from this one. */
 MhValue *
-mh_record_write_leader (const char *node, guint64 epoch);
+mh_record_write_leader (const char *node, guint64 epoch, guint64 claim);
 MhValue *
 mh_record_write_epoch (guint64 epoch);
 bool
-mh_record_read_leader (const MhValue *value, char **node, guint64 *epoch);
+mh_record_read_leader (const MhValue *value, char **node, guint64 *epoch, guint64 *claim);
 bool
 mh_record_read_epoch (const MhValue *value, guint64 *epoch);
 bool
@@ -131,7 +148,7 @@
 mh_record_read_tag (const MhValue *value);
 /* Reads the job's own part of chunk 0. */
 MhJobSpec *
-mh_record_read_job (const MhValue *value, const char *id, gint64 *submitted_wall_us,
+mh_record_read_job (const MhValue *value, const char *id, gint64 *submitted_wall_us, guint *chunk,
                     bool *cancelled);
 typedef void (*MhRecordTaskFunc) (gpointer data, guint index, guint32 attempt,
                                   const char *machine /* NULL: done */);
@@ -181,25 +198,32 @@
 
 typedef struct
 {
-  char *name;
+  GRefString *name;
   double gb;
 } MhCached;
 
 struct MhMachine
 {
-  char *name, *endpoint, *zone, *type_name;
+  char *name, *endpoint, *type_name;
+  GRefString *zone; /* interned */
   const MhMachineType *type;
+  guint type_index, zone_index; /* zone: in this pass */
   bool spot;
-  bool reported;  /* to this leader */
+  bool reported;  /* to this leader, for certain: with its epoch, or asked by it */
   bool draining;  /* takes nothing new; what it holds is moved */
   bool releasing; /* decided; holds until it is confirmed */
   bool release_sent;
   bool gone;       /* confirmed released */
   bool probing;    /* being asked whether it is alive */
   guint deaf;      /* probes in a row without an answer */
+  guint ignored;   /* answers in a row that its next report shows nothing of */
+  guint64 told_epoch, told_tick; /* the last answer to a report: its epoch, that report's tick */
+  bool told;                     /* ... must show in the next one */
+  bool due;                      /* is to be looked at for orders */
   gint64 hello_us; /* of the last report that it sent by itself */
   bool running;    /* listed as such */
   gint64 known_us, rented_us, heard_us, idle_us;
+  gint64 hinted_us; /* a report of unknown age came */
   gint64 notice_until_us; /* -1: no notice */
   guint64 tenure, tick, epoch;
   GPtrArray *attempts; /* MhAttempt */
@@ -208,6 +232,7 @@
   GPtrArray *cache;    /* MhCached */
   guint direct;        /* direct commands without an answer yet */
   guint errors;        /* failed tasks in a row */
+  guint replicas;      /* attempts of services */
   char *error_job;
   double used_cpus, used_gpus, used_mem;
   double promised_cpus, promised_mem; /* to tasks that wait for preempted ones, in this pass */
@@ -229,15 +254,17 @@
 mh_fleet_types_changed (MhCore *core);
 bool
 mh_fleet_silent (const MhCore *core, const MhMachine *machine, gint64 for_us);
+/* Images by interned names. */
 bool
-mh_fleet_cached (const MhMachine *machine, const char *image);
+mh_fleet_cached (const MhMachine *machine, const GRefString *image);
 gint64
-mh_fleet_image_wait (const MhCore *core, const MhMachine *machine, const char *image, double gb);
-guint
-mh_fleet_replicas (const MhMachine *machine); /* of services, on it */
+mh_fleet_image_wait (const MhCore *core, const MhMachine *machine, const GRefString *image,
+                     double gb);
 double
 mh_fleet_hourly (const MhMachine *machine); /* its price; the type must be known */
 void
+mh_fleet_start (MhCore *core);
+void
 mh_fleet_clear (MhCore *core);
 void
 mh_fleet_loaded (MhCore *core);
@@ -257,7 +284,10 @@
 void
 mh_fleet_attempt_over (MhCore *core, MhAttempt *attempt, bool done);
 void
-mh_fleet_cache (MhMachine *machine, const char *image, double gb);
+mh_fleet_cache (MhMachine *machine, GRefString *image, double gb);
+/* Its orders are looked at in this step, not with the next sweep. */
+void
+mh_fleet_due (MhCore *core, MhMachine *machine);
 void
 mh_fleet_free_machine (gpointer machine);
 
@@ -287,13 +317,13 @@
 /* Could the team run `more` of the job's tasks besides what may be running now? */
 bool
 mh_place_quota_fits (MhCore *core, const MhJob *job, double more_cpus, double more_gpus);
+guint
+mh_place_quota_room (MhCore *core, const MhJob *job, const MhUse *also, guint n);
 GPtrArray *
 mh_place_queue (MhCore *core); /* jobs with pending tasks, in order; container owned */
 void
 mh_place_spread_rule (const MhCore *core, const MhJobSpec *spec, guint *max_skew, bool *soft);
 
-/* Hopelessly late jobs count as due this much later. */
-#define MH_HOPELESS_US (3600 * MH_SECOND_US)
 /* Owners' estimates are often wrong, and on some days all in one direction: what the tasks of a
    class took, as a multiple of what was said. */
 double
@@ -314,8 +344,16 @@
 void
 mh_scale_release (MhCore *core, MhMachine *machine, const char *why);
 
+/* What is written first: a user or a service waits for it; a start or the end of a job; progress. */
+typedef enum
+{
+  MH_URGENCY_USER,
+  MH_URGENCY_START,
+  MH_URGENCY_PROGRESS
+} MhUrgency;
+#define MH_URGENCIES 3
 void
-mh_store_touch (MhCore *core, MhRecord *record);
+mh_store_touch (MhCore *core, MhRecord *record, MhUrgency urgency);
 void
 mh_store_step (MhCore *core);
 void
@@ -371,11 +409,6 @@
   GDestroyNotify free;
 } MhCall;
 
-typedef struct
-{
-  double cpus, gpus; /* what may be in use */
-} MhUse;
-
 typedef struct
 {
   double ratio;
@@ -424,22 +457,26 @@
   GHashTable *jobs;   /* id -> MhJob */
   GHashTable *finals; /* id -> MhUserAnswer, a bounded cache */
   GQueue finals_order;
-  GQueue dirty;   /* MhRecord */
+  GQueue dirty[MH_URGENCIES]; /* MhRecord */
   GQueue garbage; /* keys to drop */
   guint txns;     /* in flight */
   guint64 rev;
   GHashTable *machines;    /* name -> MhMachine */
+  GPtrArray *due;          /* MhMachine, not owned */
+  gint64 swept_us;
+  MhBucket probe_bucket;
   GPtrArray *types;        /* MhMachineType; NULL until known */
   GHashTable *team_use;    /* team -> MhUse */
   GHashTable *class_stats; /* class -> MhClassStat */
   bool place_wanted, place_urgent;
-  gint64 placed_us;
+  gint64 placed_us, preempted_us;
   GHashTable *forwards; /* id -> MhUserVerb as pointer */
 
   struct
   {
     gint64 types_us, list_us, step_us, tell_us;
-    bool types_busy, list_busy, renting, listed;
+    bool types_busy, list_busy, renting, listed, releases_wanted;
+    gint64 release_us;
     guint64 rentals;
     GHashTable *refused; /* type/zone/kind -> gint64 until */
   } scale;
@@ -453,6 +490,9 @@
 void
 mh_core_call (MhCore *core, MhRank rank, MhRequest *request, double writes, gint64 timeout_us,
               MhReplyFunc func, gpointer data, GDestroyNotify free);
+/* Sends what the buckets allow. */
+void
+mh_core_flush (MhCore *core);
 /* Forgets all calls; replies that still come are ignored. */
 void
 mh_core_drop_calls (MhCore *core);
--- a/src/core.c
+++ b/src/core.c
@@ -4,10 +4,6 @@
 
 /* Finished jobs whose answer is kept in memory; others are read when they are asked for. */
 #define FINALS_KEPT 2000u
-/* Of a record, in JSON: a task (its number, attempt and machine), and what is neither job nor task.
- */
-#define TASK_JSON 50
-#define RECORD_JSON 200
 /* A node that has had no usable leader for so long is rather cut off by itself. */
 #define READY_US (30 * MH_SECOND_US)
 
@@ -111,27 +107,44 @@
                        q);
 }
 
-/* Sends what the buckets allow, the highest rank first. The lease is renewed whatever they say: its
-   calls are few, and without it nothing else counts. */
+/* The highest rank first. The lease is renewed whatever the buckets say: its calls are few, and
+   without it nothing else counts. Changes that have to wait hold up other changes, but not reads:
+   else questions about finished jobs would go unanswered as long as there is much to write. */
 static void
-flush_calls (MhCore *core)
+flush_state (MhCore *core)
 {
   gint64 now = core->now.mono_us;
+  bool no_writes = false;
   for (guint rank = 0; rank < MH_RANKS; rank++)
-    for (MhQueued *q; (q = g_queue_peek_head (&core->state_queue[rank]));)
+    for (GList *l = core->state_queue[rank].head, *next; l; l = next)
       {
-        if (rank != MH_RANK_LEASE
-            && (now < core->state_pause_us || !mh_bucket_has (&core->state_bucket, 1, now)
-                || (q->writes > 0 && !mh_bucket_has (&core->write_bucket, q->writes, now))))
+        MhQueued *q = l->data;
+        next = l->next;
+        if (rank != MH_RANK_LEASE)
           {
-            mh_core_wake_at (core, MAX (now + 20000, core->state_pause_us));
-            rank = MH_RANKS;
-            break;
+            if (now < core->state_pause_us || !mh_bucket_has (&core->state_bucket, 1, now))
+              {
+                mh_core_wake_at (core, MAX (now + 20000, core->state_pause_us));
+                return;
+              }
+            no_writes |= q->writes > 0 && !mh_bucket_has (&core->write_bucket, q->writes, now);
+            if (q->writes > 0 && no_writes)
+              {
+                mh_core_wake_at (core, now + 20000);
+                continue;
+              }
           }
         mh_bucket_take (&core->state_bucket, 1);
         mh_bucket_take (&core->write_bucket, q->writes);
-        emit (core, g_queue_pop_head (&core->state_queue[rank]));
+        g_queue_delete_link (&core->state_queue[rank], l);
+        emit (core, q);
       }
+}
+
+static void
+flush_cloud (MhCore *core)
+{
+  gint64 now = core->now.mono_us;
   for (guint rank = 0; rank < MH_RANKS; rank++)
     for (MhQueued *q; (q = g_queue_peek_head (&core->cloud_queue[rank]));)
       {
@@ -145,6 +158,13 @@
       }
 }
 
+void
+mh_core_flush (MhCore *core)
+{
+  flush_state (core);
+  flush_cloud (core);
+}
+
 void
 mh_core_drop_calls (MhCore *core)
 {
@@ -203,21 +223,13 @@
     }
 }
 
-/* The job's record must fit one value of the state service, with all its tasks of the first chunk:
-   one that does not would be refused there time and again, and end each leadership. */
-static bool
-fits_record (MhCore *core, const MhJobSpec *spec)
-{
-  g_autoptr (MhValue) v = mh_wire_write_submission (spec);
-  return mh_value_json_size (v) + mh_job_chunk () * TASK_JSON + RECORD_JSON
-         <= core->settings->value_bytes;
-}
-
 /* 400: too large to keep. 422: can never run here. 0: can. 503: not known yet. */
 static guint
 judge (MhCore *core, const MhJobSpec *spec)
 {
-  if (!fits_record (core, spec))
+  /* One that does not fit would be refused by the state service time and again, and end each
+     leadership. */
+  if (mh_job_chunk (spec, core->settings->value_bytes) == 0)
     return 400;
   const MhTeam *team = mh_settings_team (core->settings, spec->team);
   if (team == NULL)
@@ -266,9 +278,9 @@
           mh_job_spec_free (spec);
           return;
         }
-      job = mh_job_new (spec, core->now.wall_us, &core->now);
+      job = mh_job_new (spec, 0, core->settings->value_bytes, core->now.wall_us, &core->now);
       g_hash_table_insert (core->jobs, job->spec->id, job);
-      mh_store_touch (core, &job->records[0]);
+      mh_store_touch (core, &job->records[0], MH_URGENCY_USER);
     }
   else
     mh_job_spec_free (spec);
@@ -288,7 +300,7 @@
     {
       mh_info (core, "job %s: cancelled by its user", job->spec->id);
       job->cancelled = true;
-      mh_store_touch (core, &job->records[0]);
+      mh_store_touch (core, &job->records[0], MH_URGENCY_USER);
       mh_fleet_kill_job (core, job);
     }
   MhWaiter w = { .id = id, .verb = MH_USER_WITHDRAW };
@@ -414,7 +426,7 @@
       mh_scale_step (core);
       mh_store_step (core);
     }
-  flush_calls (core);
+  mh_core_flush (core);
 }
 
 void
@@ -437,6 +449,7 @@
   core->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mh_fleet_free_machine);
   core->team_use = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  core->due = g_ptr_array_new ();
   core->class_stats = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->scale.refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_queue_init (&core->actions);
@@ -444,6 +457,7 @@
   mh_bucket_init (&core->state_bucket, settings->state_rps * 0.75, settings->state_rps * 0.4, t);
   mh_bucket_init (&core->write_bucket, settings->state_write_rps * 0.9,
                   settings->state_write_rps * 0.8, t);
+  mh_fleet_start (core);
   mh_bucket_init (&core->cloud_bucket, settings->cloud_rps * 0.9, settings->cloud_rps * 1.5, t);
   mh_leader_start (core);
   return core;
@@ -467,6 +481,7 @@
   g_hash_table_unref (core->jobs);
   g_hash_table_unref (core->finals);
   g_hash_table_unref (core->team_use);
+  g_ptr_array_unref (core->due);
   g_hash_table_unref (core->class_stats);
   g_hash_table_unref (core->scale.refused);
   g_free (core->leader.node);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -7,8 +7,14 @@
 /* An unanswered command is fenced by a new epoch after this. */
 #define PROBE_TIMEOUT_US (MH_SECOND_US)
 #define DEAF_PROBES 2u
-/* Machines with replicas are asked sooner, as far as the processor's share allows. */
+/* Machines are asked only as fast as the processor's share allows. */
 #define PROBES_PER_CORE_S 400
+/* Silence, notices and what was not said at once are looked after so often. */
+#define SWEEP_US (MH_SECOND_US / 5)
+/* Reports in a row that show nothing of the answer before them. */
+#define IGNORED_ANSWERS 2u
+/* A worker that has just learnt of this leader reports again by itself. */
+#define SECOND_REPORT_US (MH_SECOND_US * 7 / 10)
 #define LOOSE_US (6 * MH_SECOND_US)
 #define REMEMBER_GONE_US (90 * MH_SECOND_US)
 /* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
@@ -29,7 +35,7 @@
 static void
 cached_free (gpointer data)
 {
-  g_free (((MhCached *)data)->name);
+  g_ref_string_release (((MhCached *)data)->name);
   g_free (data);
 }
 
@@ -39,7 +45,7 @@
   MhMachine *m = data;
   g_free (m->name);
   g_free (m->endpoint);
-  g_free (m->zone);
+  g_clear_pointer (&m->zone, g_ref_string_release);
   g_free (m->type_name);
   g_free (m->error_job);
   g_ptr_array_unref (m->attempts);
@@ -63,7 +69,10 @@
     {
       const MhMachineType *t = g_ptr_array_index (core->types, i);
       if (strcmp (t->name, m->type_name) == 0)
-        m->type = t;
+        {
+          m->type = t;
+          m->type_index = i;
+        }
     }
 }
 
@@ -83,7 +92,7 @@
   MhMachine *m = g_new0 (MhMachine, 1);
   m->name = g_strdup (name);
   m->type_name = g_strdup (type);
-  m->zone = g_strdup (zone);
+  m->zone = zone ? g_ref_string_new_intern (zone) : NULL;
   m->spot = spot;
   m->known_us = m->rented_us = m->heard_us = m->idle_us = core->now.mono_us;
   m->notice_until_us = -1;
@@ -111,6 +120,7 @@
         g_free (mh_machine_attempt (m, i));
     }
   g_hash_table_remove_all (core->machines);
+  g_ptr_array_set_size (core->due, 0);
   g_hash_table_remove_all (core->team_use);
 }
 
@@ -129,11 +139,18 @@
       else if (job->n_done == job->spec->tasks)
         {
           job->finished = true;
-          mh_store_touch (core, &job->records[0]);
+          mh_store_touch (core, &job->records[0], MH_URGENCY_START);
         }
     }
 }
 
+void
+mh_fleet_start (MhCore *core)
+{
+  double rate = PROBES_PER_CORE_S * core->settings->core_share;
+  mh_bucket_init (&core->probe_bucket, rate, rate, core->now.mono_us);
+}
+
 bool
 mh_fleet_silent (const MhCore *core, const MhMachine *m, gint64 for_us)
 {
@@ -143,10 +160,10 @@
 /* ---- images ---- */
 
 bool
-mh_fleet_cached (const MhMachine *m, const char *image)
+mh_fleet_cached (const MhMachine *m, const GRefString *image)
 {
   for (guint i = 0; i < m->cache->len; i++)
-    if (strcmp (((MhCached *)g_ptr_array_index (m->cache, i))->name, image) == 0)
+    if (((MhCached *)g_ptr_array_index (m->cache, i))->name == image)
       return true;
   return false;
 }
@@ -154,7 +171,7 @@
 /* How long a task with this image would wait for it here: nothing if it is cached, the rest of the
    fetch if one is under way, else a fetch beside those that are, which may share the rate. */
 gint64
-mh_fleet_image_wait (const MhCore *core, const MhMachine *m, const char *image, double gb)
+mh_fleet_image_wait (const MhCore *core, const MhMachine *m, const GRefString *image, double gb)
 {
   if (mh_fleet_cached (m, image))
     return 0;
@@ -163,16 +180,16 @@
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
       const MhJobSpec *s = a->job->spec;
-      if (a->kill || a->phase != MH_TASK_FETCHING || mh_fleet_cached (m, s->image))
+      if (a->kill || a->phase != MH_TASK_FETCHING || mh_fleet_cached (m, a->job->image))
         continue;
       double left
           = MAX (s->image_gb - (double)(core->now.mono_us - a->placed_us) / MH_SECOND_US * rate,
                  s->image_gb * 0.1);
-      if (strcmp (s->image, image) == 0)
+      if (a->job->image == image)
         return (gint64)(left / rate * MH_SECOND_US);
       bool counted = false;
       for (guint k = 0; k < i && !counted; k++)
-        counted = strcmp (mh_machine_attempt (m, k)->job->spec->image, s->image) == 0;
+        counted = mh_machine_attempt (m, k)->job->image == a->job->image;
       if (!counted)
         others += left;
     }
@@ -181,14 +198,17 @@
 
 /* Machines keep the most recently used images; this is our own account of it. */
 void
-mh_fleet_cache (MhMachine *m, const char *image, double gb)
+mh_fleet_cache (MhMachine *m, GRefString *image, double gb)
 {
   double total = gb;
-  MhCached *c = NULL;
+  MhCached *c = m->cache->len ? g_ptr_array_index (m->cache, m->cache->len - 1) : NULL;
+  if (c && c->name == image)
+    return;
+  c = NULL;
   for (guint i = 0; i < m->cache->len; i++)
     {
       MhCached *other = g_ptr_array_index (m->cache, i);
-      if (strcmp (other->name, image) == 0)
+      if (other->name == image)
         {
           c = other;
           g_ptr_array_steal_index (m->cache, i);
@@ -198,7 +218,7 @@
   if (c == NULL)
     {
       c = g_new0 (MhCached, 1);
-      c->name = g_strdup (image);
+      c->name = g_ref_string_acquire (image);
       c->gb = gb;
     }
   for (guint i = 0; i < m->cache->len; i++)
@@ -217,15 +237,6 @@
   return m->spot ? m->type->spot_price : m->type->price;
 }
 
-guint
-mh_fleet_replicas (const MhMachine *m)
-{
-  guint n = 0;
-  for (guint i = 0; i < m->attempts->len; i++)
-    n += mh_machine_attempt (m, i)->job->spec->shape == MH_SHAPE_SERVICE;
-  return n;
-}
-
 /* ---- attempts ---- */
 
 static MhUse *
@@ -256,6 +267,10 @@
   a->machine->used_cpus += sign * s->cpus;
   a->machine->used_gpus += sign * s->gpus;
   a->machine->used_mem += sign * s->mem_gb;
+  if (s->shape == MH_SHAPE_SERVICE)
+    a->machine->replicas += sign > 0 ? 1 : -1;
+  if (!a->machine->reported)
+    a->job->n_unheard += sign > 0 ? 1 : -1;
 }
 
 MhAttempt *
@@ -265,6 +280,7 @@
   MhAttempt *a = g_new0 (MhAttempt, 1);
   a->job = job;
   a->index = index;
+  job->n_begun += t->attempt == 0;
   a->attempt = ++t->attempt;
   a->machine = m;
   a->placed_us = core->now.mono_us;
@@ -284,7 +300,8 @@
   if (over && !job->finished)
     {
       job->finished = true;
-      mh_store_touch (core, &job->records[0]);
+      mh_store_touch (core, &job->records[0],
+                      job->cancelled ? MH_URGENCY_PROGRESS : MH_URGENCY_START);
     }
 }
 
@@ -330,7 +347,7 @@
   /* An attempt that is over without a result is written too: else a new leader would look for proof
      of it once more, on a machine that may have been given back long ago. */
   if (!job->cancelled)
-    mh_store_touch (core, mh_job_record (job, a->index));
+    mh_store_touch (core, mh_job_record (job, a->index), MH_URGENCY_PROGRESS);
   /* Room that was made by preemption is wanted at once, and so is a new place for a replica. */
   core->place_urgent |= a->kill || job->spec->shape == MH_SHAPE_SERVICE;
   core->place_wanted = true;
@@ -338,6 +355,15 @@
   job_check_over (core, job);
 }
 
+void
+mh_fleet_due (MhCore *core, MhMachine *m)
+{
+  if (m->due)
+    return;
+  m->due = true;
+  g_ptr_array_add (core->due, m);
+}
+
 void
 mh_fleet_kill (MhCore *core, MhAttempt *a, gint64 grace_us)
 {
@@ -352,6 +378,7 @@
   a->kill = true;
   a->grace_us = grace_us;
   a->killed_us = 0;
+  mh_fleet_due (core, a->machine);
 }
 
 void
@@ -495,7 +522,7 @@
       set_running (core, a, t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING);
       /* One that was stopped while it waited for its image ends without it. */
       if (t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING || t->cause == MH_CAUSE_DONE)
-        mh_fleet_cache (m, job->spec->image, job->spec->image_gb);
+        mh_fleet_cache (m, job->image, job->spec->image_gb);
       if (t->phase != MH_TASK_ENDED)
         return;
       attempt_ended (core, a, t->cause);
@@ -513,14 +540,21 @@
   bool first = !m->reported;
   m->reported = true;
   m->heard_us = core->now.mono_us;
-  m->deaf = 0;
+  if (!hello)
+    m->ignored = 0;
+  if (!m->ignored)
+    m->deaf = 0;
   if (hello)
     m->hello_us = core->now.mono_us;
+  else
+    mh_fleet_due (core, m);
   m->tenure = r->tenure;
   m->tick = r->tick;
   m->epoch = r->epoch;
   if (first)
     {
+      for (guint i = 0; i < m->attempts->len; i++)
+        mh_machine_attempt (m, i)->job->n_unheard--;
       m->idle_us = core->now.mono_us;
       core->place_wanted = true;
       mh_info (core, "machine %s: reports (%s in %s%s, %u tasks)", m->name, r->type, r->zone,
@@ -532,7 +566,7 @@
       m->endpoint = g_strdup (r->endpoint);
     }
   if (m->zone == NULL)
-    m->zone = g_strdup (r->zone);
+    m->zone = g_ref_string_new_intern (r->zone);
   if (m->type_name == NULL)
     {
       m->type_name = g_strdup (r->type);
@@ -722,19 +756,33 @@
     observe (core, m, r, false);
 }
 
+static bool
+has_orders (const MhMachine *m)
+{
+  for (guint i = 0; i < m->attempts->len; i++)
+    {
+      const MhAttempt *a = mh_machine_attempt (m, i);
+      if (a->kill ? a->killed_us == 0 : !a->ordered && may_start (a))
+        return true;
+    }
+  return false;
+}
+
+/* `epoch_only`: no order, but the worker learns of this leader, and so does a former one that it
+   still reports to. */
 static void
-send_direct (MhCore *core, MhMachine *m)
+send_direct (MhCore *core, MhMachine *m, bool epoch_only)
 {
   /* One at a time, and none to a machine that may not be there: each unanswered command costs an
      epoch. Its next report will carry them. */
   if (!core->settings->direct || m->direct || !m->reported || m->releasing || m->endpoint == NULL
-      || m->loose->len || mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
-      || m->epoch > core->leader.own_epoch || core->leader.bumping)
+      || m->loose->len || m->ignored
+      || mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
+      || m->epoch > core->leader.own_epoch || core->leader.bumping
+      || !(epoch_only || has_orders (m)))
     return;
   g_autoptr (GArray) orders = mh_orders_new ();
   attempt_orders (core, m, orders, true);
-  if (orders->len == 0)
-    return;
   Direct *d = g_new0 (Direct, 1);
   d->machine = g_strdup (m->name);
   d->orders = g_array_ref (orders);
@@ -771,6 +819,50 @@
   a->body = body;
 }
 
+/* A report of unknown age: at most it tells where to ask. */
+static void
+hint (MhCore *core, MhMachine *m, const MhReport *r)
+{
+  if (m == NULL || m->reported || m->releasing)
+    return;
+  if (m->endpoint == NULL)
+    m->endpoint = g_strdup (r->endpoint);
+  m->hinted_us = core->now.mono_us;
+}
+
+/* A worker sends its next report only when it has the answer to the last or has given it up, so
+   that what the answer said must show. A machine whose reports arrive while nothing reaches it
+   looks alive, and does nothing that it is told. */
+static void
+heed (MhCore *core, MhMachine *m, const MhReport *r)
+{
+  bool asked = m->told && m->epoch < m->told_epoch;
+  bool ignores = m->told && (r->epoch < m->told_epoch || r->tenure > m->tenure);
+  for (guint i = 0; i < m->attempts->len && m->told && !ignores; i++)
+    {
+      const MhAttempt *a = mh_machine_attempt (m, i);
+      if (a->seen || !a->ordered || a->loaded || a->hello_tick != m->told_tick)
+        continue;
+      bool shown = false;
+      for (guint k = 0; k < r->tasks->len && !shown; k++)
+        {
+          const MhReportTask *t = &g_array_index (r->tasks, MhReportTask, k);
+          shown = t->index == a->index && t->attempt == a->attempt
+                  && strcmp (t->job, a->job->spec->id) == 0;
+        }
+      asked = true;
+      ignores = !shown;
+    }
+  m->told = false;
+  if (ignores)
+    {
+      if (++m->ignored == IGNORED_ANSWERS)
+        mh_info (core, "machine %s: reports, but shows nothing of what it is told", m->name);
+    }
+  else if (asked)
+    m->ignored = 0;
+}
+
 void
 mh_fleet_hello (MhCore *core, guint64 id, const MhReport *r)
 {
@@ -787,26 +879,39 @@
       return;
     }
   g_autoptr (GArray) orders = mh_orders_new ();
+  MhMachine *m = mh_fleet_machine (core, r->machine);
   if (core->leader.phase == MH_PHASE_LEAD)
     {
-      MhMachine *m = mh_fleet_machine (core, r->machine);
       if (m && m->gone)
         {
           answer_hello (core, id, 503, NULL);
           return;
         }
-      if (m == NULL)
-        {
-          mh_info (core, "machine %s: not known before; it is used", r->machine);
-          m = mh_fleet_add (core, r->machine, r->type, r->zone, r->spot);
-        }
-      if (newer (m, r))
+      /* Copies of reports come late, also of machines that are long gone and to a leader that has
+         heard nothing newer. Only one with an epoch of this leadership was surely sent in it; by
+         any other the worker is merely answered, and it reports again when it has seen the epoch.
+       */
+      if (r->epoch < core->leader.load_epoch)
+        hint (core, m, r);
+      else
         {
-          observe (core, m, r, true);
-          if (valid && !core->leader.lost)
+          if (m == NULL)
             {
-              attempt_orders (core, m, orders, false);
-              stray_orders (core, m, orders);
+              mh_info (core, "machine %s: not known before; it is used", r->machine);
+              m = mh_fleet_add (core, r->machine, r->type, r->zone, r->spot);
+            }
+          if (newer (m, r))
+            {
+              heed (core, m, r);
+              observe (core, m, r, true);
+              if (valid && !core->leader.lost)
+                {
+                  attempt_orders (core, m, orders, false);
+                  stray_orders (core, m, orders);
+                  m->told = true;
+                  m->told_epoch = core->leader.own_epoch;
+                  m->told_tick = r->tick;
+                }
             }
         }
     }
@@ -845,7 +950,13 @@
         probe (core, m);
     }
   else if (newer (m, r) && r->epoch <= core->leader.own_epoch)
-    observe (core, m, r, false);
+    {
+      observe (core, m, r, false);
+      /* It may report to a former leader that is cut off, which learns from its next report that it
+         is one; without this such workers once stayed there for half a minute. */
+      if (r->epoch < core->leader.load_epoch && mh_leader_valid (core))
+        send_direct (core, m, true);
+    }
 }
 
 static void
@@ -856,6 +967,16 @@
                 g_strdup (m->name), g_free);
 }
 
+static void
+ask (MhCore *core, MhMachine *m)
+{
+  if (m->probing || m->deaf || m->endpoint == NULL
+      || !mh_bucket_has (&core->probe_bucket, 1, core->now.mono_us))
+    return;
+  mh_bucket_take (&core->probe_bucket, 1);
+  probe (core, m);
+}
+
 static void
 check_silence (MhCore *core, MhMachine *m, const Patience *patience)
 {
@@ -863,20 +984,22 @@
   if (m->reported)
     {
       gint64 silent = now - m->heard_us;
-      if (silent > patience->known_us
-          || (m->deaf >= DEAF_PROBES && !patience->cut_off
-              && now - m->hello_us > patience->report_us))
+      if (m->deaf >= DEAF_PROBES && m->ignored >= IGNORED_ANSWERS && !patience->cut_off)
+        mh_scale_release (core, m, "nothing reaches it");
+      else if (silent > patience->known_us
+               || (m->deaf >= DEAF_PROBES && !patience->cut_off
+                   && now - m->hello_us > patience->report_us))
         mh_scale_release (core, m, m->deaf ? "silent, and gives no answer" : "silent");
-      else if (silent > (mh_fleet_replicas (m) ? patience->replica_us : patience->suspect_us)
-               && !m->probing && m->deaf == 0 && m->endpoint)
-        probe (core, m);
+      else if (m->ignored
+               || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
+        ask (core, m);
       return;
     }
   if (m->attempts->len || m->running)
     {
       /* A new leader does not wait for the workers to find it, where it knows their address. */
-      if (m->endpoint && !m->probing && m->deaf == 0)
-        probe (core, m);
+      if (now - m->hinted_us > SECOND_REPORT_US)
+        ask (core, m);
       if (now - MAX (core->leader.since_us, m->known_us) > patience->unseen_us)
         mh_scale_release (core, m, "silent since the change of leader");
       return;
@@ -907,9 +1030,9 @@
       if (m->gone || m->releasing || !(m->reported || m->attempts->len))
         continue;
       all++;
-      hosts += mh_fleet_replicas (m) > 0;
+      hosts += m->replicas > 0;
       if (m->reported)
-        silent += m->deaf || mh_fleet_silent (core, m, usual);
+        silent += m->deaf || m->ignored || mh_fleet_silent (core, m, usual);
       else
         unseen++;
     }
@@ -948,12 +1071,44 @@
     }
 }
 
+static void
+look_after (MhCore *core, MhMachine *m, const Patience *limit)
+{
+  check_silence (core, m, limit);
+  if (m->notice_until_us >= 0)
+    drain_by_notice (core, m);
+  send_direct (core, m, false);
+  for (guint i = 0; i < m->loose->len; i++)
+    if (core->now.mono_us - g_array_index (m->loose, MhLoose, i).since_us > LOOSE_US && !m->ignored
+        && !mh_fleet_silent (core, m, 2 * core->settings->report_us))
+      {
+        mh_leader_bump (core);
+        break;
+      }
+}
+
+/* What has just changed is answered at once; all machines are looked through now and then only, so
+   that the work of a step does not grow with the fleet. */
 void
 mh_fleet_step (MhCore *core)
 {
+  gint64 now = core->now.mono_us;
+  for (guint i = 0; i < core->due->len; i++)
+    {
+      MhMachine *m = g_ptr_array_index (core->due, i);
+      m->due = false;
+      if (!m->gone && !m->releasing)
+        send_direct (core, m, false);
+    }
+  g_ptr_array_set_size (core->due, 0);
+  if (now < core->swept_us + SWEEP_US)
+    {
+      mh_core_wake_at (core, core->swept_us + SWEEP_US);
+      return;
+    }
+  core->swept_us = now;
   GHashTableIter it;
   gpointer value;
-  gint64 now = core->now.mono_us;
   const Patience limit = patience (core);
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
@@ -961,22 +1116,11 @@
       MhMachine *m = value;
       if (m->gone)
         {
-          if (now - m->gone_us > REMEMBER_GONE_US)
+          if (now - m->gone_us > REMEMBER_GONE_US && !m->due)
             g_hash_table_iter_remove (&it);
-          continue;
         }
-      if (m->releasing)
-        continue;
-      check_silence (core, m, &limit);
-      if (m->notice_until_us >= 0)
-        drain_by_notice (core, m);
-      send_direct (core, m);
-      for (guint i = 0; i < m->loose->len; i++)
-        if (now - g_array_index (m->loose, MhLoose, i).since_us > LOOSE_US
-            && !mh_fleet_silent (core, m, 2 * core->settings->report_us))
-          {
-            mh_leader_bump (core);
-            break;
-          }
+      else if (!m->releasing)
+        look_after (core, m, &limit);
     }
+  mh_core_wake_at (core, now + SWEEP_US);
 }
--- a/src/job.c
+++ b/src/job.c
@@ -1,29 +1,41 @@
 #include "core-private.h"
 
-/* 64 entries of some 30 characters and the largest spec that is accepted fit the smallest values
-   that a deployment offers (8 KiB). */
-#define CHUNK_TASKS 64u
+/* Of a record, in JSON, at the most: a task, and what is neither job nor task. */
+#define TASK_JSON 56u
+#define RECORD_JSON 300u
+#define LEAST_CHUNK 16u
+/* A larger record would be written whole for ever smaller parts of it. */
+#define LARGEST_CHUNK 512u
 
 guint
-mh_job_chunk (void)
+mh_job_chunk (const MhJobSpec *spec, guint value_bytes)
 {
-  return CHUNK_TASKS;
+  g_autoptr (MhValue) v = mh_wire_write_submission (spec);
+  gsize used = mh_value_json_size (v) + RECORD_JSON;
+  if (used + LEAST_CHUNK * TASK_JSON > value_bytes)
+    return 0;
+  return MIN ((guint)(value_bytes - used) / TASK_JSON, LARGEST_CHUNK);
 }
 
 MhJob *
-mh_job_new (MhJobSpec *spec, gint64 submitted_wall_us, const MhNow *now)
+mh_job_new (MhJobSpec *spec, guint chunk, guint value_bytes, gint64 submitted_wall_us,
+            const MhNow *now)
 {
   MhJob *job = g_new0 (MhJob, 1);
   job->spec = spec;
+  job->image = g_ref_string_new_intern (spec->image);
+  job->zone = spec->zone ? g_ref_string_new_intern (spec->zone) : NULL;
   job->submitted_wall_us = submitted_wall_us;
   job->submitted_us = now->mono_us - MAX (0, now->wall_us - submitted_wall_us);
   job->tasks = g_new0 (MhTask, spec->tasks);
-  job->n_records = (spec->tasks + CHUNK_TASKS - 1) / CHUNK_TASKS;
+  job->chunk = chunk ? chunk : MAX (mh_job_chunk (spec, value_bytes), LEAST_CHUNK);
+  job->n_records = (spec->tasks + job->chunk - 1) / job->chunk;
   job->records = g_new0 (MhRecord, job->n_records);
   for (guint i = 0; i < job->n_records; i++)
     {
       job->records[i].job = job;
       job->records[i].chunk = i;
+      job->records[i].again = MH_URGENCY_PROGRESS;
     }
   job->waiters = g_array_new (FALSE, FALSE, sizeof (MhWaiter));
   return job;
@@ -33,6 +45,8 @@
 mh_job_free (MhJob *job)
 {
   mh_job_spec_free (job->spec);
+  g_ref_string_release (job->image);
+  g_clear_pointer (&job->zone, g_ref_string_release);
   g_free (job->tasks);
   g_free (job->records);
   g_array_unref (job->waiters);
@@ -42,7 +56,7 @@
 MhRecord *
 mh_job_record (MhJob *job, guint index)
 {
-  return &job->records[index / CHUNK_TASKS];
+  return &job->records[index / job->chunk];
 }
 
 guint
--- a/src/leader.c
+++ b/src/leader.c
@@ -54,8 +54,8 @@
 learn (MhCore *core, const MhEntry *e)
 {
   char *node = NULL;
-  guint64 epoch = 0;
-  if (e->value == NULL || !mh_record_read_leader (e->value, &node, &epoch))
+  guint64 epoch = 0, claim;
+  if (e->value == NULL || !mh_record_read_leader (e->value, &node, &epoch, &claim))
     {
       g_clear_pointer (&core->leader.node, g_free);
       return;
@@ -202,9 +202,12 @@
   (void)data;
   MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
   g_autofree char *node = NULL;
-  guint64 epoch;
-  bool mine = e && mh_record_read_leader (e->value, &node, &epoch)
-              && strcmp (node, core->settings->node) == 0 && epoch == core->leader.own_epoch;
+  guint64 epoch, claim;
+  /* An earlier life of this node, ended in the middle of its election, may have put its name there
+     with the very same epoch, late, and attached to a lease that nobody renews any more. */
+  bool mine = e && mh_record_read_leader (e->value, &node, &epoch, &claim)
+              && strcmp (node, core->settings->node) == 0 && epoch == core->leader.own_epoch
+              && claim == core->leader.claim;
   guint64 stamp = e ? e->stamp : 0;
   mh_entry_free (e);
   if (mine && core->now.mono_us < core->leader.valid_until_us)
@@ -238,7 +241,7 @@
             MhReplyFunc reply)
 {
   MhCondition conditions[] = { { "leader", key_stamp }, { "epoch", epoch_stamp } };
-  g_autoptr (MhValue) leader = mh_record_write_leader (core->settings->node, epoch);
+  g_autoptr (MhValue) leader = mh_record_write_leader (core->settings->node, epoch, core->leader.claim);
   g_autoptr (MhValue) number = mh_record_write_epoch (epoch);
   MhChange changes[] = { { "leader", leader, core->leader.claim }, { "epoch", number, 0 } };
   mh_core_call (core, MH_RANK_LEASE,
--- a/src/place.c
+++ b/src/place.c
@@ -4,19 +4,27 @@
 #include <string.h>
 
 #define EPSILON 1e-6
-/* A pass looks at every machine for every job that waits, which on a small share of a core is dear:
-   only what is expected to start within seconds calls for one at once. */
+/* A pass looks at the machines for every job that waits, which on a small share of a core is dear:
+   only what is expected to start within seconds calls for one at once. Looking for tasks to stop
+   looks at every task there is, and is done less often. */
 #define URGENT_PASS_US 20000
 #define PASS_US 50000
 #define IDLE_PASS_US (MH_SECOND_US / 2)
+#define PREEMPT_US (MH_SECOND_US / 5)
 #define PREEMPTIONS_PER_PASS 16u
 /* Starts in one pass: a huge array must not hold up everything else in the process. */
 #define STARTS_PER_PASS 400u
 #define MUCH_DEARER 2
 /* Machines on which an array would miss the aim for its start by its image come last. */
 #define TOO_LATE 1000
+/* Jobs that can meet no aim any more count as due this much later: behind those that can, but not
+   for ever. */
+#define HOPELESS_US (180 * MH_SECOND_US)
 #define RANK_LOSS 3
 #define LATE_STEP_US (10 * MH_SECOND_US)
+/* A job of which nothing has begun for so long goes before all work that is not urgent, with one
+   task: else the largest and the least would wait for ever behind a steady stream of small ones. */
+#define BEGIN_US (150 * MH_SECOND_US)
 
 bool
 mh_place_type_fits (const MhJobSpec *s, const MhMachineType *t)
@@ -48,6 +56,24 @@
          && (use ? use->gpus : 0) + more_gpus <= team->gpus_max + EPSILON;
 }
 
+/* How many of `n` more tasks the team's limit allows besides what may be running and `also`. */
+guint
+mh_place_quota_room (MhCore *core, const MhJob *job, const MhUse *also, guint n)
+{
+  const MhTeam *team = mh_settings_team (core->settings, job->spec->team);
+  const MhUse *use = g_hash_table_lookup (core->team_use, job->spec->team);
+  const MhJobSpec *s = job->spec;
+  if (team == NULL)
+    return 0;
+  double cpus = team->cpus_max - also->cpus - (use ? use->cpus : 0) + EPSILON;
+  double gpus = team->gpus_max - also->gpus - (use ? use->gpus : 0) + EPSILON;
+  if (s->cpus > 0 && s->cpus * n > cpus)
+    n = cpus > 0 ? (guint)(cpus / s->cpus) : 0;
+  if (s->gpus > 0 && s->gpus * n > gpus)
+    n = gpus > 0 ? (guint)(gpus / s->gpus) : 0;
+  return n;
+}
+
 void
 mh_place_spread_rule (const MhCore *core, const MhJobSpec *s, guint *max_skew, bool *soft)
 {
@@ -83,12 +109,22 @@
   return job->guaranteed ? 2 : 3;
 }
 
+static bool
+starved (const MhCore *core, const MhJob *job)
+{
+  return job->n_begun == 0 && core->now.mono_us - job->submitted_us > BEGIN_US;
+}
+
 static gint
 by_order (gconstpointer a, gconstpointer b)
 {
   const MhJob *x = *(MhJob *const *)a, *y = *(MhJob *const *)b;
-  if (tier (x) != tier (y))
-    return tier (x) < tier (y) ? -1 : 1;
+  guint tx = x->starved ? MIN (tier (x), 2) : tier (x);
+  guint ty = y->starved ? MIN (tier (y), 2) : tier (y);
+  if (tx != ty)
+    return tx < ty ? -1 : 1;
+  if (x->starved != y->starved)
+    return x->starved ? -1 : 1;
   if (x->spec->priority != y->spec->priority)
     return x->spec->priority > y->spec->priority ? -1 : 1;
   if (x->start_by_us != y->start_by_us)
@@ -140,7 +176,7 @@
 /* When the job's tasks should start at the latest, by its deadline or its class's aims, of which
    those count that can still be met. A job that can meet none goes behind those that can. */
 static gint64
-start_by (MhCore *core, const MhJob *job)
+start_by (MhCore *core, MhJob *job)
 {
   const MhJobSpec *s = job->spec;
   gint64 now = core->now.mono_us, at = G_MAXINT64, last = 0;
@@ -160,8 +196,9 @@
       }
   if (last == 0)
     at = job->submitted_us + 600 * MH_SECOND_US;
-  else if (at == G_MAXINT64 || at - needs < now)
-    at = MIN (at, last) + MH_HOPELESS_US;
+  job->hopeless = last && (at == G_MAXINT64 || at - needs < now);
+  if (job->hopeless)
+    at = MIN (at, last) + HOPELESS_US;
   return at - needs;
 }
 
@@ -215,6 +252,7 @@
         }
       if (job->wanted_us == 0)
         job->wanted_us = core->now.mono_us;
+      job->starved = starved (core, job);
       job->start_by_us = start_by (core, job);
       jobs->pdata[kept++] = job;
     }
@@ -245,6 +283,26 @@
   return least;
 }
 
+/* ---- one pass over the queue ---- */
+
+/* Tasks of this size found no room on any machine: nor will larger ones, until the next pass. */
+typedef struct
+{
+  double cpus, gpus, mem_gb;
+  bool spot;
+} Full;
+
+typedef struct
+{
+  MhCore *core;
+  GPtrArray *usable; /* MhMachine */
+  GArray *zones;     /* MhZoneCount, of all zones with live machines */
+  GArray *full;      /* Full */
+  GPtrArray *stuck;  /* MhJob: no task could be stopped for it */
+  guint starts, preemptions;
+  bool may_preempt;
+} Pass;
+
 /* ---- one job ---- */
 
 typedef struct
@@ -258,23 +316,35 @@
   bool dear;      /* for a service: costs much more than another that would do */
 } Candidate;
 
+#define NOT_COUNTED G_MAXUINT
+
 typedef struct
 {
+  Pass *pass;
   MhCore *core;
   MhJob *job;
-  GArray *candidates; /* Candidate, in the order that first fit walks */
+  GArray *candidates; /* Candidate, with room when they were gathered */
   GArray *zones;      /* MhZoneCount */
+  guint *zone_of;     /* by the pass's zones: index into these */
+  bool *type_fits;
   guint max_skew;
   bool soft, spread;
   gint64 patience; /* how long a start may still take */
   guint task;      /* next pending */
+  guint first;     /* of the sorted candidates: none below it has room */
 } Placing;
 
+static bool
+live (const MhMachine *m)
+{
+  return m->reported && !m->gone && !m->releasing && m->zone && m->type;
+}
+
 static bool
 usable (const MhCore *core, const MhMachine *m)
 {
-  return m->reported && m->type && !m->releasing && !m->draining && !m->gone
-         && m->notice_until_us < 0 && core->now.mono_us >= m->hold_us
+  return live (m) && !m->draining && !m->ignored && m->notice_until_us < 0
+         && core->now.mono_us >= m->hold_us
          && !mh_fleet_silent (core, m, core->settings->report_us * 5 / 2);
 }
 
@@ -335,24 +405,11 @@
   return strcmp (x->machine->name, y->machine->name);
 }
 
-static guint
-zone_index (GArray *zones, const char *name)
-{
-  for (guint i = 0; i < zones->len; i++)
-    if (strcmp (g_array_index (zones, MhZoneCount, i).name, name) == 0)
-      return i;
-  MhZoneCount z = { .name = name };
-  g_array_append_val (zones, z);
-  return zones->len - 1;
-}
-
 /* Where may the job's next task go, given the job's other tasks? */
 static void
 count_zones (Placing *p)
 {
   const MhJobSpec *s = p->job->spec;
-  for (guint i = 0; i < p->zones->len; i++)
-    g_array_index (p->zones, MhZoneCount, i).count = 0;
   /* Counting walks all tasks of the job; most arrays need no counts. */
   if (p->job->n_live == 0 || !(p->spread || s->one_zone || s->scatter))
     return;
@@ -361,52 +418,115 @@
       {
         const char *zone = p->job->tasks[i].live->machine->zone;
         for (guint z = 0; z < p->zones->len; z++)
-          if (strcmp (g_array_index (p->zones, MhZoneCount, z).name, zone) == 0)
+          if (g_array_index (p->zones, MhZoneCount, z).name == zone)
             g_array_index (p->zones, MhZoneCount, z).count++;
       }
 }
 
-static void
-prepare (Placing *p)
+/* The zone that the job asks for, or that its other tasks have fixed; NULL: any. */
+static const char *
+only_zone (const MhJob *job)
 {
-  MhCore *core = p->core;
-  const MhJobSpec *s = p->job->spec;
-  GHashTableIter it;
-  gpointer value;
-  const char *only_zone = s->zone;
-  if (s->one_zone)
-    for (guint i = 0; i < s->tasks && p->job->n_live; i++)
-      if (p->job->tasks[i].live)
+  if (job->spec->one_zone)
+    for (guint i = 0; i < job->spec->tasks && job->n_live; i++)
+      if (job->tasks[i].live)
         {
           /* A machine known from a record alone has no zone yet: nothing can be placed beside it.
            */
-          const char *z = p->job->tasks[i].live->machine->zone;
-          only_zone = z ? z : "";
-          break;
+          const char *zone = job->tasks[i].live->machine->zone;
+          return zone ? zone : "";
         }
+  return job->zone;
+}
+
+static bool
+fits_kind (const Placing *p, const MhMachine *m)
+{
+  return p->type_fits[m->type_index] && (!m->spot || p->job->spec->spot)
+         && p->zone_of[m->zone_index] != NOT_COUNTED;
+}
+
+/* A zone counts when it has live machines that pass the zone filter, feasible or not. */
+static void
+prepare (Placing *p)
+{
+  MhCore *core = p->core;
+  const MhJobSpec *s = p->job->spec;
+  const char *only = only_zone (p->job);
   p->spread = s->shape == MH_SHAPE_SERVICE;
   mh_place_spread_rule (core, s, &p->max_skew, &p->soft);
-  g_hash_table_iter_init (&it, core->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  for (guint i = 0; i < core->types->len; i++)
+    p->type_fits[i] = mh_place_type_fits (s, g_ptr_array_index (core->types, i));
+  for (guint i = 0; i < p->pass->zones->len; i++)
     {
-      MhMachine *m = value;
-      if (!m->reported || m->gone || m->releasing || m->zone == NULL || m->type == NULL
-          || (only_zone && strcmp (only_zone, m->zone) != 0))
+      MhZoneCount z = g_array_index (p->pass->zones, MhZoneCount, i);
+      bool counts = only == NULL || z.name == only;
+      p->zone_of[i] = counts ? p->zones->len : NOT_COUNTED;
+      if (counts)
+        g_array_append_val (p->zones, z);
+    }
+  count_zones (p);
+}
+
+static bool
+known_full (const Pass *pass, const MhJobSpec *s)
+{
+  for (guint i = 0; i < pass->full->len; i++)
+    {
+      const Full *f = &g_array_index (pass->full, Full, i);
+      if (s->cpus >= f->cpus && s->gpus >= f->gpus && s->mem_gb >= f->mem_gb
+          && (f->spot || !s->spot))
+        return true;
+    }
+  return false;
+}
+
+static void
+learn_full (Pass *pass, const MhJob *job)
+{
+  const MhJobSpec *s = job->spec;
+  if (s->types || s->zone || s->one_zone)
+    return;
+  Full f = { .cpus = s->cpus, .gpus = s->gpus, .mem_gb = s->mem_gb, .spot = s->spot };
+  g_array_append_val (pass->full, f);
+}
+
+/* The machines with room. A replica may keep its machine for long after everything else on it has
+   ended, so that those which cost much more than another of the kind are marked. */
+static void
+gather (Placing *p)
+{
+  const MhJobSpec *s = p->job->spec;
+  double least = G_MAXDOUBLE;
+  if (known_full (p->pass, s))
+    return;
+  for (guint i = 0; i < p->pass->usable->len; i++)
+    {
+      MhMachine *m = g_ptr_array_index (p->pass->usable, i);
+      if (!fits_kind (p, m))
         continue;
-      /* A zone counts when it has live machines that pass the zone filter, feasible or not. */
-      guint zone = zone_index (p->zones, m->zone);
-      if (!usable (core, m) || !mh_place_kind_fits (p->job, m->type, m->zone, m->spot))
+      least = MIN (least, mh_fleet_hourly (m));
+      if (!has_room (m, s))
         continue;
       Candidate c = { .machine = m,
-                      .zone = zone,
-                      .wait_us = mh_fleet_image_wait (core, m, s->image, s->image_gb) };
+                      .zone = p->zone_of[m->zone_index],
+                      .wait_us = mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb) };
       c.cost = walk_cost (s, &c, p->patience);
-      if (s->shape == MH_SHAPE_SERVICE)
-        c.replicas = mh_fleet_replicas (m);
+      if (p->spread)
+        c.replicas = m->replicas;
       g_array_append_val (p->candidates, c);
-      if (has_room (m, s))
-        g_array_index (p->zones, MhZoneCount, zone).feasible = true;
+      g_array_index (p->zones, MhZoneCount, c.zone).feasible = true;
+    }
+  if (p->candidates->len == 0)
+    learn_full (p->pass, p->job);
+  for (guint i = 0; i < p->candidates->len && p->spread; i++)
+    {
+      Candidate *c = &g_array_index (p->candidates, Candidate, i);
+      c->dear = mh_fleet_hourly (c->machine) > MUCH_DEARER * least;
     }
+  /* A service has few tasks, and each start changes what is best for the next. */
+  if (!p->spread)
+    g_array_sort (p->candidates, by_walk);
 }
 
 static bool
@@ -424,35 +544,6 @@
   return !p->spread || p->soft || mh_spread_hard_fits (zones, p->zones->len, zone, p->max_skew);
 }
 
-/* A replica may keep its machine for long after everything else on it has ended. */
-static void
-mark_dear (Placing *p)
-{
-  double least = G_MAXDOUBLE;
-  for (guint i = 0; i < p->candidates->len; i++)
-    least = MIN (least, mh_fleet_hourly (g_array_index (p->candidates, Candidate, i).machine));
-  for (guint i = 0; i < p->candidates->len; i++)
-    {
-      Candidate *c = &g_array_index (p->candidates, Candidate, i);
-      c->dear = mh_fleet_hourly (c->machine) > MUCH_DEARER * least;
-    }
-}
-
-static void
-rank (Placing *p)
-{
-  if (p->spread)
-    mark_dear (p);
-  if (p->spread && p->soft)
-    for (guint i = 0; i < p->candidates->len; i++)
-      {
-        Candidate *c = &g_array_index (p->candidates, Candidate, i);
-        c->score = mh_spread_soft_score ((MhZoneCount *)p->zones->data, p->zones->len, c->zone,
-                                         p->max_skew);
-      }
-  g_array_sort (p->candidates, by_walk);
-}
-
 static bool
 next_pending (Placing *p)
 {
@@ -466,23 +557,36 @@
 {
   MhAttempt *a = mh_fleet_attempt_new (p->core, p->job, p->task, c->machine);
   MhRecord *r = mh_job_record (p->job, p->task);
-  mh_store_touch (p->core, r);
+  mh_store_touch (p->core, r, p->spread ? MH_URGENCY_USER : MH_URGENCY_START);
   a->need_rev = r->rev;
+  c->replicas++;
   g_array_index (p->zones, MhZoneCount, c->zone).count++;
   mh_debug (p->core, "task %s/%u: attempt %u on %s (%s%s)", p->job->spec->id, p->task, a->attempt,
             c->machine->name, c->machine->zone, c->wait_us ? "" : ", image there");
 }
 
+/* The first in the order of the walk that fits. */
 static Candidate *
 first_fit (Placing *p)
 {
-  for (guint i = 0; i < p->candidates->len; i++)
+  const MhJobSpec *s = p->job->spec;
+  Candidate *all = (Candidate *)p->candidates->data, *best = NULL;
+  while (p->first < p->candidates->len && !has_room (all[p->first].machine, s))
+    p->first++;
+  for (guint i = p->first; i < p->candidates->len; i++)
     {
-      Candidate *c = &g_array_index (p->candidates, Candidate, i);
-      if (has_room (c->machine, p->job->spec) && zone_allows (p, c->zone))
+      Candidate *c = &all[i];
+      if (!has_room (c->machine, s) || !zone_allows (p, c->zone))
+        continue;
+      if (!p->spread)
         return c;
+      if (p->soft)
+        c->score = mh_spread_soft_score ((MhZoneCount *)p->zones->data, p->zones->len, c->zone,
+                                         p->max_skew);
+      if (best == NULL || by_walk (c, best) < 0)
+        best = c;
     }
-  return NULL;
+  return best;
 }
 
 /* ---- preemption ---- */
@@ -520,34 +624,71 @@
   return x < y ? -1 : x > y;
 }
 
-/* Room that is being freed already counts, so that one need is not met twice. */
+static void
+promise (MhMachine *m, const MhJobSpec *s)
+{
+  m->promised_cpus += s->cpus;
+  m->promised_mem += s->mem_gb;
+}
+
+/* What a machine has free, is being freed, and could be. */
+typedef struct
+{
+  double cpus, mem;
+} Space;
+
 static bool
-room_after (const MhMachine *m, const MhJobSpec *s, double cpus, double mem)
+enough (const Space *x, const MhJobSpec *s)
 {
-  return s->cpus <= free_cpus (m) - m->promised_cpus + cpus + EPSILON
-         && s->mem_gb <= m->type->mem_gb - m->used_mem - m->promised_mem + mem + EPSILON;
+  return s->cpus <= x->cpus + EPSILON && s->mem_gb <= x->mem + EPSILON;
 }
 
 static void
-doomed_room (const MhMachine *m, double *cpus, double *mem)
+add_task (Space *x, const MhJobSpec *s)
+{
+  x->cpus += s->cpus;
+  x->mem += s->mem_gb;
+}
+
+/* Room that is being freed already counts, so that one need is not met twice. */
+static Space
+space_of (const MhJob *wants, const MhMachine *m, Space *could)
 {
-  *cpus = *mem = 0;
+  Space x = { .cpus = free_cpus (m) - m->promised_cpus,
+              .mem = m->type->mem_gb - m->used_mem - m->promised_mem };
+  *could = (Space){ 0 };
   for (guint i = 0; i < m->attempts->len; i++)
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
       if (a->kill)
-        {
-          *cpus += a->job->spec->cpus;
-          *mem += a->job->spec->mem_gb;
-        }
+        add_task (&x, a->job->spec);
+      else if (may_stop (wants, a))
+        add_task (could, a->job->spec);
     }
+  could->cpus += x.cpus;
+  could->mem += x.mem;
+  return x;
 }
 
-static void
-promise (MhMachine *m, const MhJobSpec *s)
-{
-  m->promised_cpus += s->cpus;
-  m->promised_mem += s->mem_gb;
+/* The tasks with the least loss that make enough room; the sum of what is lost. */
+static double
+choose_victims (const Placing *p, const MhMachine *m, Space x, GPtrArray *victims)
+{
+  g_autoptr (GPtrArray) able = g_ptr_array_new ();
+  double loss = 0;
+  for (guint j = 0; j < m->attempts->len; j++)
+    if (may_stop (p->job, mh_machine_attempt (m, j)))
+      g_ptr_array_add (able, mh_machine_attempt (m, j));
+  g_ptr_array_sort_with_data (able, by_loss, p->core);
+  g_ptr_array_set_size (victims, 0);
+  for (guint j = 0; j < able->len && !enough (&x, p->job->spec); j++)
+    {
+      MhAttempt *a = g_ptr_array_index (able, j);
+      add_task (&x, a->job->spec);
+      loss += loss_of (p->core, a);
+      g_ptr_array_add (victims, a);
+    }
+  return loss;
 }
 
 /* Makes room for one task, or finds that it is being made, where its image comes within `wait_us`.
@@ -558,49 +699,40 @@
   const MhJobSpec *s = p->job->spec;
   MhMachine *best = NULL;
   double best_loss = G_MAXDOUBLE;
-  g_autoptr (GPtrArray) best_victims = NULL;
+  g_autoptr (GPtrArray) victims = g_ptr_array_new ();
   if (s->gpus > 0)
     return false;
-  for (guint i = 0; i < p->candidates->len; i++)
+  for (guint i = 0; i < p->pass->usable->len; i++)
     {
-      Candidate *c = &g_array_index (p->candidates, Candidate, i);
-      MhMachine *m = c->machine;
-      double cpus, mem;
-      if (!zone_allows (p, c->zone) || c->wait_us > wait_us)
+      MhMachine *m = g_ptr_array_index (p->pass->usable, i);
+      Space could;
+      if (!fits_kind (p, m) || !zone_allows (p, p->zone_of[m->zone_index]))
+        continue;
+      Space x = space_of (p->job, m, &could);
+      if (!enough (&could, s))
         continue;
-      doomed_room (m, &cpus, &mem);
-      if (room_after (m, s, cpus, mem))
+      gint64 wait = mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb);
+      if (wait > wait_us)
+        continue;
+      if (enough (&x, s))
         {
           promise (m, s);
           return true;
         }
-      g_autoptr (GPtrArray) able = g_ptr_array_new ();
-      for (guint j = 0; j < m->attempts->len; j++)
-        if (may_stop (p->job, mh_machine_attempt (m, j)))
-          g_ptr_array_add (able, mh_machine_attempt (m, j));
-      g_ptr_array_sort_with_data (able, by_loss, p->core);
-      g_autoptr (GPtrArray) victims = g_ptr_array_new ();
-      double loss = (double)c->wait_us / MH_SECOND_US;
-      for (guint j = 0; j < able->len && !room_after (m, s, cpus, mem); j++)
-        {
-          MhAttempt *a = g_ptr_array_index (able, j);
-          cpus += a->job->spec->cpus;
-          mem += a->job->spec->mem_gb;
-          loss += loss_of (p->core, a);
-          g_ptr_array_add (victims, a);
-        }
-      if (!room_after (m, s, cpus, mem) || loss >= best_loss)
+      double loss = (double)wait / MH_SECOND_US + choose_victims (p, m, x, victims);
+      if (loss >= best_loss)
         continue;
       best = m;
       best_loss = loss;
-      g_clear_pointer (&best_victims, g_ptr_array_unref);
-      best_victims = g_steal_pointer (&victims);
     }
   if (best == NULL)
     return false;
-  for (guint i = 0; i < best_victims->len; i++)
+  Space could;
+  Space x = space_of (p->job, best, &could);
+  choose_victims (p, best, x, victims);
+  for (guint i = 0; i < victims->len; i++)
     {
-      MhAttempt *a = g_ptr_array_index (best_victims, i);
+      MhAttempt *a = g_ptr_array_index (victims, i);
       mh_info (p->core, "task %s/%u: stopped on %s to make room for %s", a->job->spec->id, a->index,
                best->name, s->id);
       mh_fleet_kill (p->core, a, mh_job_grace_us (a->job));
@@ -614,71 +746,158 @@
 static bool
 counts_known (const MhCore *core, const MhJob *job)
 {
-  if (core->leader.rebuilt || job->n_live == 0)
-    return true;
-  for (guint i = 0; i < job->spec->tasks; i++)
-    if (job->tasks[i].live && !job->tasks[i].live->machine->reported)
-      return false;
-  return true;
+  return core->leader.rebuilt || job->n_unheard == 0;
 }
 
-static void
-place_job (MhCore *core, MhJob *job, guint *starts, guint *preemptions)
+/* Whether an earlier job that might have stopped all that this one may, for no more room, could
+   not. */
+static bool
+known_stuck (const Pass *pass, const MhJob *job)
 {
-  g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
-  g_autoptr (GArray) zones = g_array_new (FALSE, FALSE, sizeof (MhZoneCount));
-  Placing p
-      = { .core = core, .job = job, .candidates = candidates, .zones = zones, .task = job->cursor };
   const MhJobSpec *s = job->spec;
-  if (core->now.mono_us < job->retry_us)
+  for (guint i = 0; i < pass->stuck->len; i++)
     {
-      mh_core_wake_at (core, job->retry_us);
-      return;
+      const MhJob *other = g_ptr_array_index (pass->stuck, i);
+      const MhJobSpec *o = other->spec;
+      if (tier (other) <= tier (job) && o->priority >= s->priority && o->cpus <= s->cpus
+          && o->mem_gb <= s->mem_gb && (o->spot || !s->spot)
+          && (!job->guaranteed || (other->guaranteed && strcmp (o->team, s->team) == 0)))
+        return true;
     }
-  if (!counts_known (core, job))
-    return;
-  p.patience = patience_of (core, job);
-  prepare (&p);
-  count_zones (&p);
-  rank (&p);
-  while (next_pending (&p) && *starts < STARTS_PER_PASS)
+  return false;
+}
+
+static bool
+preempt_one (Placing *p, gint64 wait_us)
+{
+  if (!p->pass->may_preempt || p->pass->preemptions >= PREEMPTIONS_PER_PASS)
+    return false;
+  p->core->preempted_us = p->core->now.mono_us;
+  if (!preempt (p, wait_us))
+    return false;
+  p->pass->preemptions++;
+  return true;
+}
+
+/* Starts what finds room. */
+static void
+place_tasks (Placing *p)
+{
+  MhCore *core = p->core;
+  MhJob *job = p->job;
+  const MhJobSpec *s = job->spec;
+  while (next_pending (p) && p->pass->starts < STARTS_PER_PASS)
     {
-      job->cursor = p.task;
+      job->cursor = p->task;
       if (!mh_place_quota_fits (core, job, s->cpus, s->gpus))
         return;
-      Candidate *c = first_fit (&p);
+      Candidate *c = first_fit (p);
       if (c == NULL)
-        break;
+        {
+          if (p->candidates->len && p->first == p->candidates->len)
+            learn_full (p->pass, job);
+          return;
+        }
       /* A service that would come too late by its image rather takes the room of lesser work where
          the image is. */
-      if (s->shape == MH_SHAPE_SERVICE && c->wait_us > p.patience && core->leader.rebuilt
-          && *preemptions < PREEMPTIONS_PER_PASS && preempt (&p, MAX (p.patience, 0)))
+      if (p->spread && c->wait_us > p->patience && core->leader.rebuilt
+          && preempt_one (p, MAX (p->patience, 0)))
         {
-          (*preemptions)++;
-          p.task++;
+          p->task++;
           continue;
         }
-      start (&p, c);
-      (*starts)++;
-      if (p.spread && p.soft)
-        rank (&p);
+      start (p, c);
+      p->pass->starts++;
+      if (job->starved)
+        return;
     }
+}
+
+/* Stops other tasks for what found none. */
+static void
+make_room (Placing *p)
+{
+  MhCore *core = p->core;
+  MhJob *job = p->job;
+  const MhJobSpec *s = job->spec;
   /* Machines that have not reported yet may have room; running tasks end by themselves. */
   if (!core->leader.rebuilt || (tier (job) == 3 && s->priority <= MH_PRIORITY_LOW))
     return;
-  if (s->shape != MH_SHAPE_SERVICE && core->now.mono_us - job->wanted_us < p.patience / 3)
+  if (!p->spread && core->now.mono_us - job->wanted_us < p->patience / 3)
     {
-      mh_core_wake_at (core, job->wanted_us + p.patience / 3);
+      mh_core_wake_at (core, job->wanted_us + p->patience / 3);
       return;
     }
   double cpus = 0;
-  for (guint n = mh_job_pending (job); n > 0 && *preemptions < PREEMPTIONS_PER_PASS; n--)
+  for (guint n = mh_job_pending (job); n > 0; n--)
     {
       cpus += s->cpus;
-      if (!mh_place_quota_fits (core, job, cpus, 0)
-          || !(preempt (&p, p.patience) || preempt (&p, G_MAXINT64)))
+      if (!mh_place_quota_fits (core, job, cpus, 0) || known_stuck (p->pass, job))
         return;
-      (*preemptions)++;
+      if (preempt_one (p, p->patience) || preempt_one (p, G_MAXINT64))
+        continue;
+      if (p->pass->preemptions < PREEMPTIONS_PER_PASS && !p->spread && !s->types && !s->zone
+          && !s->one_zone && !s->scatter)
+        g_ptr_array_add (p->pass->stuck, job);
+      return;
+    }
+}
+
+static void
+place_job (Pass *pass, MhJob *job)
+{
+  MhCore *core = pass->core;
+  if (core->now.mono_us < job->retry_us)
+    {
+      mh_core_wake_at (core, job->retry_us);
+      return;
+    }
+  if (!counts_known (core, job) || !mh_place_quota_fits (core, job, job->spec->cpus, job->spec->gpus))
+    return;
+  g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  g_autoptr (GArray) zones = g_array_new (FALSE, FALSE, sizeof (MhZoneCount));
+  g_autofree guint *zone_of = g_new0 (guint, pass->zones->len + 1);
+  g_autofree bool *type_fits = g_new0 (bool, core->types->len + 1);
+  Placing p = { .pass = pass,
+                .core = core,
+                .job = job,
+                .candidates = candidates,
+                .zones = zones,
+                .zone_of = zone_of,
+                .type_fits = type_fits,
+                .task = job->cursor,
+                .patience = patience_of (core, job) };
+  prepare (&p);
+  gather (&p);
+  place_tasks (&p);
+  if (mh_job_pending (job) && pass->may_preempt)
+    make_room (&p);
+}
+
+/* All machines once: who takes part, and which zones count. */
+static void
+look_round (Pass *pass)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, pass->core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      MhMachine *m = value;
+      m->promised_cpus = m->promised_mem = 0;
+      if (!live (m))
+        continue;
+      guint i = 0;
+      while (i < pass->zones->len && g_array_index (pass->zones, MhZoneCount, i).name != m->zone)
+        i++;
+      m->zone_index = i;
+      if (i == pass->zones->len)
+        {
+          MhZoneCount z = { .name = m->zone };
+          g_array_append_val (pass->zones, z);
+        }
+      if (usable (pass->core, m))
+        g_ptr_array_add (pass->usable, m);
     }
 }
 
@@ -690,21 +909,28 @@
                 + (core->place_urgent   ? URGENT_PASS_US
                    : core->place_wanted ? PASS_US
                                         : IDLE_PASS_US);
-  if (now < next || core->leader.bumping)
+  if (now < next || core->leader.bumping || core->types == NULL)
     {
       mh_core_wake_at (core, MAX (next, now + 5000));
       return;
     }
   core->placed_us = now;
   core->place_wanted = core->place_urgent = false;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, core->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    ((MhMachine *)value)->promised_cpus = ((MhMachine *)value)->promised_mem = 0;
   g_autoptr (GPtrArray) queue = mh_place_queue (core);
-  guint starts = 0, preemptions = 0;
+  if (queue->len == 0)
+    return;
+  g_autoptr (GPtrArray) machines = g_ptr_array_new ();
+  g_autoptr (GArray) zones = g_array_new (FALSE, FALSE, sizeof (MhZoneCount));
+  g_autoptr (GArray) full = g_array_new (FALSE, FALSE, sizeof (Full));
+  g_autoptr (GPtrArray) stuck = g_ptr_array_new ();
+  Pass pass = { .core = core,
+                .usable = machines,
+                .zones = zones,
+                .full = full,
+                .stuck = stuck,
+                .may_preempt = now >= core->preempted_us + PREEMPT_US };
+  look_round (&pass);
   for (guint i = 0; i < queue->len; i++)
-    place_job (core, g_ptr_array_index (queue, i), &starts, &preemptions);
+    place_job (&pass, g_ptr_array_index (queue, i));
   /* A kill that freed room at once is used in the next pass. */
 }
--- a/src/record.c
+++ b/src/record.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+/* Tasks in a record that does not say so: it is of the first version. */
+#define FIRST_CHUNK 64
+
 char *
 mh_record_key (const char *job, guint chunk)
 {
@@ -21,12 +24,13 @@
     {
       mh_value_set (m, "s", mh_wire_write_submission (job->spec));
       mh_value_set_uint (m, "at", (guint64)MAX (job->submitted_wall_us, 0));
+      mh_value_set_uint (m, "c", job->chunk);
       if (job->cancelled)
         mh_value_set_bool (m, "x", true);
     }
   MhValue *list = mh_value_list ();
-  guint first = r->chunk * mh_job_chunk ();
-  guint end = MIN (first + mh_job_chunk (), job->spec->tasks);
+  guint first = r->chunk * job->chunk;
+  guint end = MIN (first + job->chunk, job->spec->tasks);
   for (guint i = first; i < end; i++)
     {
       const MhTask *t = &job->tasks[i];
@@ -74,9 +78,10 @@
 }
 
 MhValue *
-mh_record_write_leader (const char *node, guint64 epoch)
+mh_record_write_leader (const char *node, guint64 epoch, guint64 claim)
 {
   MhValue *m = mh_value_map ();
+  mh_value_set_uint (m, "claim", claim);
   mh_value_set_text (m, "node", node);
   mh_value_set_uint (m, "epoch", epoch);
   return m;
@@ -97,8 +102,10 @@
 }
 
 bool
-mh_record_read_leader (const MhValue *v, char **node, guint64 *epoch)
+mh_record_read_leader (const MhValue *v, char **node, guint64 *epoch, guint64 *claim)
 {
+  if (!mh_value_get_uint (v, "claim", claim))
+    *claim = 0;
   if (!mh_record_read_epoch (v, epoch))
     return false;
   *node = mh_value_get_text (v, "node");
@@ -106,12 +113,17 @@
 }
 
 MhJobSpec *
-mh_record_read_job (const MhValue *v, const char *id, gint64 *submitted_wall_us, bool *cancelled)
+mh_record_read_job (const MhValue *v, const char *id, gint64 *submitted_wall_us, guint *chunk,
+                    bool *cancelled)
 {
-  guint64 at;
+  guint64 at, tasks = FIRST_CHUNK;
   g_autoptr (MhJobSpec) spec = mh_wire_read_submission (mh_value_get (v, "s"));
   if (spec == NULL || strcmp (spec->id, id) != 0 || !mh_value_get_uint (v, "at", &at))
     return NULL;
+  mh_value_get_uint (v, "c", &tasks);
+  if (tasks < 1 || tasks > MH_MAX_TASKS)
+    return NULL;
+  *chunk = (guint)tasks;
   *submitted_wall_us = (gint64)at;
   *cancelled = false;
   mh_value_get_bool (v, "x", cancelled);
--- a/src/scale.c
+++ b/src/scale.c
@@ -15,10 +15,11 @@
    Replicas younger than this are left alone: a start that is undone at once is none. */
 #define EMPTY_ENOUGH 0.5
 #define FULLEST 0.85
+#define EMPTIED_LOOKED_AT 4u
 #define SETTLED_US (35 * MH_SECOND_US)
 #define RENT_MOST 50u
 #define RELEASE_MOST 100u
-#define TASKS_LOOKED_AT 600u
+#define RELEASE_US (MH_SECOND_US / 4)
 /* Spot machines are taken back now and then, with what they run: their price counts as this much
    more. */
 #define SPOT_RISK 1.3
@@ -31,6 +32,7 @@
   mh_info (core, "machine %s: given back: %s", m->name, why);
   m->releasing = true;
   m->release_sent = false;
+  core->scale.releases_wanted = true;
 }
 
 void
@@ -38,6 +40,8 @@
 {
   core->scale.types_busy = core->scale.list_busy = core->scale.renting = false;
   core->scale.listed = false;
+  core->scale.releases_wanted = false;
+  core->scale.release_us = 0;
   core->scale.types_us = core->scale.list_us = 0;
   g_hash_table_remove_all (core->scale.refused);
 }
@@ -80,7 +84,7 @@
         {
           /* Known from a record only. */
           m->type_name = g_strdup (l->type);
-          m->zone = g_strdup (l->zone);
+          m->zone = g_ref_string_new_intern (l->zone);
           m->spot = l->spot;
           mh_fleet_types_changed (core);
         }
@@ -142,12 +146,23 @@
         m->release_sent = false;
     }
   if (status != 200)
-    core->cloud_pause_us = core->now.mono_us + 500000 + (gint64)(core->now.jitter * 500000);
+    {
+      core->scale.releases_wanted = true;
+      core->cloud_pause_us = core->now.mono_us + 500000 + (gint64)(core->now.jitter * 500000);
+    }
 }
 
 static void
 send_releases (MhCore *core)
 {
+  /* Those that are found idle together go in one call. */
+  if (!core->scale.releases_wanted || core->now.mono_us < core->scale.release_us)
+    {
+      if (core->scale.releases_wanted)
+        mh_core_wake_at (core, core->scale.release_us);
+      return;
+    }
+  core->scale.release_us = core->now.mono_us + RELEASE_US;
   g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
   GHashTableIter it;
   gpointer value;
@@ -161,6 +176,7 @@
           g_ptr_array_add (names, g_strdup (m->name));
         }
     }
+  core->scale.releases_wanted = names->len == RELEASE_MOST;
   if (names->len == 0)
     return;
   g_ptr_array_add (names, NULL);
@@ -209,13 +225,58 @@
   return m->reported && !m->gone && !m->releasing && m->type && m->notice_until_us < 0;
 }
 
-/* Room on the machines that stay. */
+/* Room on a machine: one that stays, one that is coming, or one that would have to be rented. */
 typedef struct
 {
-  const MhMachine *machine;
-  double cpus, gpus, mem;
+  const MhMachine *machine; /* NULL: not there yet */
+  const MhMachineType *type;
+  const GRefString *zone;
+  bool spot, wanted;
+  double cpus, gpus, mem; /* free */
 } Room;
 
+static Room
+room_new (const MhMachineType *type, const GRefString *zone, bool spot)
+{
+  return (Room){ .type = type,
+                 .zone = zone,
+                 .spot = spot,
+                 .cpus = type->cpus,
+                 .gpus = type->gpus,
+                 .mem = type->mem_gb };
+}
+
+static bool
+room_of_kind (const Room *r, const MhJob *job)
+{
+  return (!r->spot || job->spec->spot) && (job->zone == NULL || job->zone == r->zone)
+         && mh_place_type_fits (job->spec, r->type);
+}
+
+static guint
+times (double have, double need, guint most)
+{
+  return need <= 0 || have >= need * most ? most : (guint)(have / need + 1e-6);
+}
+
+/* How many of `n` tasks fit. */
+static guint
+room_for (const Room *r, const MhJobSpec *s, guint n)
+{
+  n = times (r->cpus, s->cpus, n);
+  n = times (r->gpus, s->gpus, n);
+  return times (r->mem, s->mem_gb, n);
+}
+
+static void
+room_take (Room *r, const MhJobSpec *s, guint n)
+{
+  r->cpus -= s->cpus * n;
+  r->gpus -= s->gpus * n;
+  r->mem -= s->mem_gb * n;
+}
+
+/* Whether everything on `m` has a place where its image is, on machines that stay. */
 static bool
 fits_elsewhere (MhCore *core, const MhMachine *m)
 {
@@ -232,10 +293,11 @@
         continue;
       all += o->type->cpus;
       used += o->used_cpus;
-      Room r = { .machine = o,
-                 .cpus = o->type->cpus - o->used_cpus,
-                 .gpus = o->type->gpus - o->used_gpus,
-                 .mem = o->type->mem_gb - o->used_mem };
+      Room r = room_new (o->type, o->zone, o->spot);
+      r.machine = o;
+      r.cpus -= o->used_cpus;
+      r.gpus -= o->used_gpus;
+      r.mem -= o->used_mem;
       g_array_append_val (rooms, r);
     }
   if (used + m->used_cpus > all * FULLEST)
@@ -250,18 +312,15 @@
       for (guint k = 0; k < rooms->len && to == NULL; k++)
         {
           Room *r = &g_array_index (rooms, Room, k);
-          if (mh_place_kind_fits (a->job, r->machine->type, r->machine->zone, r->machine->spot)
-              && r->cpus + 1e-6 >= s->cpus && r->gpus + 1e-6 >= s->gpus
-              && r->mem + 1e-6 >= s->mem_gb && mh_fleet_cached (r->machine, s->image))
+          if (room_for (r, s, 1) && room_of_kind (r, a->job)
+              && mh_fleet_cached (r->machine, a->job->image))
             to = r;
         }
       /* Several tasks of one service are spread; moving them is not worth a second look. */
       if (to == NULL || s->tasks > 1
           || (a->running_us == 0 || core->now.mono_us - a->running_us < SETTLED_US))
         return false;
-      to->cpus -= s->cpus;
-      to->gpus -= s->gpus;
-      to->mem -= s->mem_gb;
+      room_take (to, s, 1);
     }
   return true;
 }
@@ -272,8 +331,8 @@
 static void
 consolidate (MhCore *core, guint waiting)
 {
-  MhMachine *best = NULL;
-  double best_waste = 0;
+  MhMachine *best = NULL, *found[EMPTIED_LOOKED_AT] = { NULL };
+  double waste[EMPTIED_LOOKED_AT] = { 0 };
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
@@ -282,21 +341,30 @@
       MhMachine *m = value;
       if (m->draining && (waiting || !fits_elsewhere (core, m)))
         m->draining = false;
-      if (!steady (m) || m->attempts->len == 0)
+      if (waiting || !steady (m) || m->attempts->len == 0)
         continue;
-      double waste = mh_fleet_hourly (m) * (1 - m->used_cpus / m->type->cpus);
       if (m->draining)
         {
           best = m;
           break;
         }
       if (m->used_cpus > m->type->cpus * EMPTY_ENOUGH
-          || core->now.mono_us - m->rented_us < LEAST_PAID_US || waste <= best_waste
-          || mh_fleet_replicas (m) == 0 || !fits_elsewhere (core, m))
+          || core->now.mono_us - m->rented_us < LEAST_PAID_US || m->replicas == 0)
         continue;
-      best = m;
-      best_waste = waste;
+      double w = mh_fleet_hourly (m) * (1 - m->used_cpus / m->type->cpus);
+      for (guint i = 0; i < EMPTIED_LOOKED_AT; i++)
+        if (found[i] == NULL || w > waste[i])
+          {
+            memmove (&found[i + 1], &found[i], (EMPTIED_LOOKED_AT - i - 1) * sizeof *found);
+            memmove (&waste[i + 1], &waste[i], (EMPTIED_LOOKED_AT - i - 1) * sizeof *waste);
+            found[i] = m;
+            waste[i] = w;
+            break;
+          }
     }
+  for (guint i = 0; i < EMPTIED_LOOKED_AT && best == NULL && found[i]; i++)
+    if (fits_elsewhere (core, found[i]))
+      best = found[i];
   if (best == NULL || waiting)
     return;
   if (!best->draining)
@@ -313,15 +381,6 @@
 
 /* ---- renting ---- */
 
-/* A machine that is coming, or one that would have to be rented. */
-typedef struct
-{
-  const MhMachineType *type;
-  const char *zone;
-  bool spot, wanted;
-  double cpus, gpus, mem; /* free */
-} Virtual;
-
 static char *
 kind_key (const char *type, const char *zone, bool spot)
 {
@@ -336,77 +395,109 @@
   return until && core->now.mono_us < *until;
 }
 
-static bool
-virtual_fits (const Virtual *v, const MhJob *job)
+/* A kind of machine that can be rented, and how many are in its zone. */
+typedef struct
 {
-  const MhJobSpec *s = job->spec;
-  return mh_place_kind_fits (job, v->type, v->zone, v->spot) && s->cpus <= v->cpus + 1e-6
-         && s->gpus <= v->gpus + 1e-6 && s->mem_gb <= v->mem + 1e-6;
-}
+  const MhMachineType *type;
+  GRefString *zone;
+  bool spot;
+  guint *load; /* of the zone; shared */
+} Kind;
+
+typedef struct
+{
+  GArray *rooms; /* Room */
+  GArray *kinds; /* Kind */
+  GHashTable *loads; /* zone -> guint */
+  GArray *endings;   /* Ending */
+  guint next_ending;
+  double ended_cpus;
+} Plan;
 
 static void
-virtual_take (Virtual *v, const MhJobSpec *s)
+kind_clear (gpointer data)
 {
-  v->cpus -= s->cpus;
-  v->gpus -= s->gpus;
-  v->mem -= s->mem_gb;
+  g_ref_string_release (((Kind *)data)->zone);
 }
 
-static guint
-machines_in_zone (MhCore *core, const GArray *virtuals, const char *zone)
+static guint *
+zone_load (Plan *plan, const char *zone)
+{
+  guint *n = g_hash_table_lookup (plan->loads, zone);
+  if (n == NULL)
+    {
+      n = g_new0 (guint, 1);
+      g_hash_table_insert (plan->loads, g_strdup (zone), n);
+    }
+  return n;
+}
+
+static void
+list_kinds (MhCore *core, Plan *plan)
 {
-  guint n = 0;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const MhMachine *m = value;
-      n += !m->gone && !m->releasing && m->reported && m->zone && strcmp (m->zone, zone) == 0;
+      if (!m->gone && !m->releasing && m->reported && m->zone)
+        (*zone_load (plan, m->zone))++;
     }
-  for (guint i = 0; i < virtuals->len; i++)
-    n += strcmp (g_array_index (virtuals, Virtual, i).zone, zone) == 0;
-  return n;
-}
-
-/* The kind whose price for what `n` of these tasks would use is the lowest; among equals the zone
-   with the fewest machines. */
-static bool
-choose (MhCore *core, const MhJob *job, guint n, const GArray *virtuals, Virtual *out)
-{
-  const MhJobSpec *s = job->spec;
-  double best = G_MAXDOUBLE;
-  guint best_load = 0;
+  for (guint i = 0; i < plan->rooms->len; i++)
+    (*zone_load (plan, g_array_index (plan->rooms, Room, i).zone))++;
   for (guint i = 0; i < core->types->len; i++)
     {
       const MhMachineType *t = g_ptr_array_index (core->types, i);
       for (char **zone = t->zones; zone && *zone; zone++)
         for (int spot = 0; spot < 2; spot++)
           {
-            if (!mh_place_kind_fits (job, t, *zone, spot) || is_refused (core, t, *zone, spot))
+            if (is_refused (core, t, *zone, spot))
               continue;
-            double slots = MIN (s->cpus > 0 ? t->cpus / s->cpus : n,
-                                s->mem_gb > 0 ? t->mem_gb / s->mem_gb : n);
-            slots = (double)(guint)(slots + 1e-6);
-            /* More of the kind will come: half a machine counts as filled sooner or later. */
-            slots = MAX (1, MIN (slots, MAX (n, slots / 2)));
-            double cost = (spot ? t->spot_price * SPOT_RISK : t->price) / slots;
-            guint load = machines_in_zone (core, virtuals, *zone);
-            if (cost < best - 1e-9 || (cost < best + 1e-9 && load < best_load))
-              {
-                best = cost;
-                best_load = load;
-                *out = (Virtual){ .type = t,
-                                  .zone = *zone,
-                                  .spot = spot,
-                                  .wanted = true,
-                                  .cpus = t->cpus,
-                                  .gpus = t->gpus,
-                                  .mem = t->mem_gb };
-              }
+            Kind k = { .type = t,
+                       .zone = g_ref_string_new_intern (*zone),
+                       .spot = spot,
+                       .load = zone_load (plan, *zone) };
+            g_array_append_val (plan->kinds, k);
           }
     }
-  return best < G_MAXDOUBLE;
+}
+
+/* The kind whose price for what `n` of these tasks would use is the lowest; among equals the zone
+   with the fewest machines. */
+static Room *
+choose (Plan *plan, const MhJob *job, guint n)
+{
+  const MhJobSpec *s = job->spec;
+  double best_cost = G_MAXDOUBLE;
+  const Kind *best = NULL;
+  for (guint i = 0; i < plan->kinds->len; i++)
+    {
+      const Kind *k = &g_array_index (plan->kinds, Kind, i);
+      const MhMachineType *t = k->type;
+      Room r = room_new (t, k->zone, k->spot);
+      if (!room_of_kind (&r, job))
+        continue;
+      double slots = MIN (s->cpus > 0 ? t->cpus / s->cpus : n,
+                          s->mem_gb > 0 ? t->mem_gb / s->mem_gb : n);
+      slots = (double)(guint)(slots + 1e-6);
+      /* More of the kind will come: half a machine counts as filled sooner or later. */
+      slots = MAX (1, MIN (slots, MAX (n, slots / 2)));
+      double cost = (k->spot ? t->spot_price * SPOT_RISK : t->price) / slots;
+      if (best == NULL || cost < best_cost - 1e-9
+          || (cost < best_cost + 1e-9 && *k->load < *best->load))
+        {
+          best_cost = cost;
+          best = k;
+        }
+    }
+  if (best == NULL)
+    return NULL;
+  (*best->load)++;
+  Room r = room_new (best->type, best->zone, best->spot);
+  r.wanted = true;
+  g_array_append_val (plan->rooms, r);
+  return &g_array_index (plan->rooms, Room, plan->rooms->len - 1);
 }
 
 typedef struct
@@ -477,7 +568,7 @@
 
 /* Machines that are coming, as far as they can be counted on. */
 static void
-add_coming (MhCore *core, GArray *virtuals)
+add_coming (MhCore *core, GArray *rooms)
 {
   GHashTableIter it;
   gpointer value;
@@ -489,13 +580,8 @@
         continue;
       if (core->now.mono_us - m->rented_us > 2 * m->type->boot_us + 5 * MH_SECOND_US)
         continue; /* perhaps never */
-      Virtual v = { .type = m->type,
-                    .zone = m->zone,
-                    .spot = m->spot,
-                    .cpus = m->type->cpus,
-                    .gpus = m->type->gpus,
-                    .mem = m->type->mem_gb };
-      g_array_append_val (virtuals, v);
+      Room r = room_new (m->type, m->zone, m->spot);
+      g_array_append_val (rooms, r);
     }
 }
 
@@ -513,10 +599,9 @@
   return x < y ? -1 : x > y;
 }
 
-static GArray *
-expected_endings (MhCore *core)
+static void
+expected_endings (MhCore *core, GArray *endings)
 {
-  GArray *endings = g_array_new (FALSE, FALSE, sizeof (Ending));
   gint64 now = core->now.mono_us;
   GHashTableIter it;
   gpointer value;
@@ -532,37 +617,43 @@
           const MhJobSpec *s = a->job->spec;
           if (s->shape == MH_SHAPE_SERVICE)
             continue;
-          gint64 whole = mh_place_run_us (core, s);
+          gint64 whole = a->job->run_us;
           gint64 left = a->running_us ? whole - (now - a->running_us)
-                                      : whole + mh_place_fetch_us (core, s) - (now - a->placed_us);
+                                      : whole + a->job->fetch_us - (now - a->placed_us);
           /* One that has outrun its estimate goes on for a part of it. */
           Ending e = { .at_us = now + MAX (left, whole / 4), .cpus = s->cpus };
           g_array_append_val (endings, e);
         }
     }
   g_array_sort (endings, by_end);
-  return endings;
 }
 
-/* A task that takes room leaves it again. */
+/* Tasks that take room leave it again. */
 static void
-add_ending (GArray *endings, guint from, gint64 at_us, const MhJobSpec *s)
+add_ending (Plan *plan, gint64 at_us, double cpus)
 {
-  Ending e = { .at_us = at_us, .cpus = s->cpus };
-  while (from < endings->len && g_array_index (endings, Ending, from).at_us < at_us)
-    from++;
-  g_array_insert_val (endings, from, e);
+  Ending e = { .at_us = at_us, .cpus = cpus };
+  guint from = plan->next_ending, to = plan->endings->len;
+  while (from < to)
+    {
+      guint mid = (from + to) / 2;
+      if (g_array_index (plan->endings, Ending, mid).at_us < at_us)
+        from = mid + 1;
+      else
+        to = mid;
+    }
+  g_array_insert_val (plan->endings, from, e);
 }
 
-/* Whether a task may wait for room that running tasks leave: a machine rented now would not be
-   there sooner, or the task would still end in time. Takes the room if so. */
-static bool
-may_wait (MhCore *core, const MhJob *job, GArray *endings, guint *next, double *cpus)
+/* How many of `n` tasks may wait for room that running tasks leave: machines rented now would not be
+   there sooner, or the tasks would still end in time. Takes the room. */
+static guint
+may_wait (MhCore *core, Plan *plan, const MhJob *job, guint n)
 {
   const MhJobSpec *s = job->spec;
   gint64 now = core->now.mono_us;
   if (s->shape == MH_SHAPE_SERVICE)
-    return false;
+    return 0;
   gint64 soonest = G_MAXINT64;
   for (guint i = 0; i < core->types->len; i++)
     {
@@ -570,39 +661,93 @@
       if (mh_place_type_fits (s, t))
         soonest = MIN (soonest, t->boot_us);
     }
-  gint64 run = mh_place_run_us (core, s);
   /* Estimates are often wrong by half. */
-  gint64 latest = job->start_by_us > now + MH_HOPELESS_US / 2 ? now : job->start_by_us - run / 2;
+  gint64 latest = job->hopeless ? now : job->start_by_us - job->run_us / 2;
   /* What a rented machine cannot bring in time any more does not call for one; only a backlog that
      would outlast its boot does. */
   if (latest < now + soonest)
     latest = now + 2 * soonest;
-  while (*cpus < s->cpus && *next < endings->len
-         && g_array_index (endings, Ending, *next).at_us <= latest)
+  guint waiting = 0;
+  while (waiting < n)
     {
-      Ending *e = &g_array_index (endings, Ending, *next);
-      *cpus += e->cpus;
-      (*next)++;
+      guint k = times (plan->ended_cpus, s->cpus, n - waiting);
+      if (k)
+        {
+          plan->ended_cpus -= s->cpus * k;
+          waiting += k;
+          continue;
+        }
+      if (plan->next_ending >= plan->endings->len)
+        break;
+      const Ending e = g_array_index (plan->endings, Ending, plan->next_ending);
+      if (e.at_us > latest)
+        break;
+      plan->ended_cpus += e.cpus;
+      plan->next_ending++;
       /* The task that takes the room leaves it again. */
-      add_ending (endings, *next, e->at_us + run + mh_place_fetch_us (core, s) / 2, s);
+      add_ending (plan, e.at_us + job->run_us + job->fetch_us / 2, e.cpus);
+    }
+  return waiting;
+}
+
+static void
+lay_out (MhCore *core, Plan *plan, const MhJob *job, guint n)
+{
+  const MhJobSpec *s = job->spec;
+  for (guint i = 0; i < plan->rooms->len && n > 0; i++)
+    {
+      Room *r = &g_array_index (plan->rooms, Room, i);
+      guint k = room_of_kind (r, job) ? room_for (r, s, n) : 0;
+      if (k == 0)
+        continue;
+      room_take (r, s, k);
+      n -= k;
+      if (s->shape != MH_SHAPE_SERVICE)
+        add_ending (plan, core->now.mono_us + r->type->boot_us + job->run_us + job->fetch_us,
+                    s->cpus * k);
+    }
+  n -= may_wait (core, plan, job, n);
+  while (n > 0)
+    {
+      Room *r = choose (plan, job, n);
+      guint k = r ? room_for (r, s, n) : 0;
+      if (k == 0)
+        return;
+      room_take (r, s, k);
+      n -= k;
+      if (s->shape != MH_SHAPE_SERVICE)
+        add_ending (plan, core->now.mono_us + r->type->boot_us + job->run_us + job->fetch_us,
+                    s->cpus * k);
+    }
+}
+
+static void
+learn_times (MhCore *core)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      MhJob *job = value;
+      job->run_us = mh_place_run_us (core, job->spec);
+      job->fetch_us = mh_place_fetch_us (core, job->spec);
     }
-  if (*cpus < s->cpus)
-    return false;
-  *cpus -= s->cpus;
-  return true;
 }
 
 /* What waits is laid out on the machines that are coming and on the room that running tasks leave;
    where they do not do, more are wanted. */
 static void
-plan (MhCore *core, GArray *virtuals)
+plan_rooms (MhCore *core, Plan *plan)
 {
-  g_autoptr (GArray) endings = expected_endings (core);
-  guint next_ending = 0;
-  double ended_cpus = 0;
   g_autoptr (GPtrArray) queue = mh_place_queue (core);
+  if (queue->len == 0)
+    return;
   g_autoptr (GHashTable) asked = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  guint looked_at = 0;
+  learn_times (core);
+  add_coming (core, plan->rooms);
+  list_kinds (core, plan);
+  expected_endings (core, plan->endings);
   for (guint i = 0; i < queue->len; i++)
     {
       const MhJob *job = g_ptr_array_index (queue, i);
@@ -613,54 +758,27 @@
           use = g_new0 (MhUse, 1);
           g_hash_table_insert (asked, s->team, use);
         }
-      for (guint n = mh_job_pending (job); n > 0 && looked_at < TASKS_LOOKED_AT; n--, looked_at++)
-        {
-          if (!mh_place_quota_fits (core, job, use->cpus + s->cpus, use->gpus + s->gpus))
-            break;
-          Virtual *v = NULL;
-          for (guint j = 0; j < virtuals->len && v == NULL; j++)
-            if (virtual_fits (&g_array_index (virtuals, Virtual, j), job))
-              v = &g_array_index (virtuals, Virtual, j);
-          if (v == NULL && may_wait (core, job, endings, &next_ending, &ended_cpus))
-            {
-              use->cpus += s->cpus;
-              use->gpus += s->gpus;
-              continue;
-            }
-          if (v == NULL)
-            {
-              Virtual fresh;
-              if (!choose (core, job, n, virtuals, &fresh))
-                break;
-              g_array_append_val (virtuals, fresh);
-              v = &g_array_index (virtuals, Virtual, virtuals->len - 1);
-            }
-          virtual_take (v, s);
-          if (s->shape != MH_SHAPE_SERVICE)
-            add_ending (endings, next_ending,
-                        core->now.mono_us + v->type->boot_us + mh_place_run_us (core, s)
-                            + mh_place_fetch_us (core, s),
-                        s);
-          use->cpus += s->cpus;
-          use->gpus += s->gpus;
-        }
+      guint n = mh_place_quota_room (core, job, use, mh_job_pending (job));
+      use->cpus += s->cpus * n;
+      use->gpus += s->gpus * n;
+      if (n > 0)
+        lay_out (core, plan, job, n);
     }
 }
 
 static void
-rent_wanted (MhCore *core, const GArray *virtuals)
+rent_wanted (MhCore *core, const GArray *rooms)
 {
-  const Virtual *first = NULL;
+  const Room *first = NULL;
   guint count = 0;
-  for (guint i = 0; i < virtuals->len; i++)
+  for (guint i = 0; i < rooms->len; i++)
     {
-      const Virtual *v = &g_array_index (virtuals, Virtual, i);
-      if (!v->wanted)
+      const Room *r = &g_array_index (rooms, Room, i);
+      if (!r->wanted)
         continue;
       if (first == NULL)
-        first = v;
-      count
-          += v->type == first->type && v->spot == first->spot && strcmp (v->zone, first->zone) == 0;
+        first = r;
+      count += r->type == first->type && r->spot == first->spot && r->zone == first->zone;
     }
   if (first == NULL)
     return;
@@ -675,6 +793,22 @@
   rent (core, r);
 }
 
+static void
+plan_and_rent (MhCore *core)
+{
+  Plan plan = { .rooms = g_array_new (FALSE, FALSE, sizeof (Room)),
+                .kinds = g_array_new (FALSE, FALSE, sizeof (Kind)),
+                .loads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+                .endings = g_array_new (FALSE, FALSE, sizeof (Ending)) };
+  g_array_set_clear_func (plan.kinds, kind_clear);
+  plan_rooms (core, &plan);
+  rent_wanted (core, plan.rooms);
+  g_array_unref (plan.rooms);
+  g_array_unref (plan.kinds);
+  g_array_unref (plan.endings);
+  g_hash_table_unref (plan.loads);
+}
+
 /* Machines that an earlier leader rented show up only when the list does. */
 static bool
 may_rent (const MhCore *core)
@@ -738,12 +872,7 @@
     return;
   core->scale.step_us = now + STEP_US;
   if (may_rent (core))
-    {
-      g_autoptr (GArray) virtuals = g_array_new (FALSE, FALSE, sizeof (Virtual));
-      add_coming (core, virtuals);
-      plan (core, virtuals);
-      rent_wanted (core, virtuals);
-    }
+    plan_and_rent (core);
   if (core->leader.rebuilt)
     consolidate (core, tasks_waiting (core));
   return_idle (core);
--- a/src/store.c
+++ b/src/store.c
@@ -9,6 +9,8 @@
 /* Below the 64 KiB that one transaction may have, counted in JSON. */
 #define TXN_BYTES (56u * 1024u)
 #define PAGE 400u
+/* Of the burst of changes. */
+#define KEPT_FOR_USERS 0.4
 /* Chunks dropped with a job's final record; the rest is dropped as garbage. */
 #define DROPS_WITH_FINAL 6u
 
@@ -52,15 +54,35 @@
                 txn_unref);
 }
 
+static void
+enqueue (MhCore *core, MhRecord *r, guint urgency)
+{
+  if (r->queued && r->urgency <= urgency)
+    return;
+  if (r->queued)
+    g_queue_remove (&core->dirty[r->urgency], r);
+  r->queued = true;
+  r->urgency = urgency;
+  g_queue_push_tail (&core->dirty[urgency], r);
+}
+
+static void
+dequeue (MhCore *core, MhRecord *r)
+{
+  if (r->queued)
+    g_queue_remove (&core->dirty[r->urgency], r);
+  r->queued = false;
+}
+
 void
-mh_store_touch (MhCore *core, MhRecord *r)
+mh_store_touch (MhCore *core, MhRecord *r, MhUrgency urgency)
 {
   r->rev = ++core->rev;
-  if (!r->queued)
-    {
-      r->queued = true;
-      g_queue_push_tail (&core->dirty, r);
-    }
+  /* While it is being written, it is not known what of this will be left to write. */
+  if (r->writing)
+    r->again = MIN (r->again, urgency);
+  else
+    enqueue (core, r, urgency);
 }
 
 bool
@@ -72,7 +94,8 @@
 void
 mh_store_clear (MhCore *core)
 {
-  g_queue_clear (&core->dirty);
+  for (guint i = 0; i < MH_URGENCIES; i++)
+    g_queue_clear (&core->dirty[i]);
   g_queue_clear_full (&core->garbage, g_free);
   core->txns = 0;
 }
@@ -117,8 +140,7 @@
 {
   mh_core_final (core, job->spec->id, final);
   for (guint i = 0; i < job->n_records; i++)
-    if (job->records[i].queued)
-      g_queue_remove (&core->dirty, &job->records[i]);
+    dequeue (core, &job->records[i]);
   g_hash_table_remove (core->jobs, job->spec->id);
 }
 
@@ -130,6 +152,11 @@
   r->writing = false;
   r->stamp = stamp;
   r->durable = w->rev;
+  /* What was waiting for this to be on record may be ordered now. */
+  guint end = MIN ((r->chunk + 1) * job->chunk, job->spec->tasks);
+  for (guint i = r->chunk * job->chunk; i < end; i++)
+    if (job->tasks[i].live && !job->tasks[i].live->ordered)
+      mh_fleet_due (core, job->tasks[i].live->machine);
   if (r->chunk == 0)
     {
       if (!job->accepted)
@@ -157,12 +184,11 @@
                job->final_state == MH_JOB_DONE ? "done" : "cancelled and gone");
       mh_job_answer (job, &a);
       job_remove (core, job, &a);
+      return;
     }
-  else if (r->rev > r->durable && !r->queued)
-    {
-      r->queued = true;
-      g_queue_push_tail (&core->dirty, r);
-    }
+  if (r->rev > r->durable)
+    enqueue (core, r, r->again);
+  r->again = MH_URGENCY_PROGRESS;
 }
 
 static void
@@ -240,11 +266,8 @@
   for (guint i = 0; i < t->writes->len; i++)
     {
       MhRecord *r = g_array_index (t->writes, Write, i).record;
-      if (!r->writing && !r->queued)
-        {
-          r->queued = true;
-          g_queue_push_tail (&core->dirty, r);
-        }
+      if (!r->writing)
+        enqueue (core, r, MH_URGENCY_START);
     }
 }
 
@@ -321,8 +344,81 @@
   return true;
 }
 
+/* What one transaction gathers. */
+typedef struct
+{
+  Txn *txn;
+  GArray *conditions, *changes;
+  GPtrArray *keys, *values; /* owned */
+  gsize bytes;
+  guint most; /* changes */
+} Batch;
+
+static const char *
+keep_key (Batch *b, char *key)
+{
+  g_ptr_array_add (b->keys, key);
+  return key;
+}
+
+static void
+add_condition (Batch *b, const char *key, guint64 stamp)
+{
+  MhCondition c = { .key = key, .stamp = stamp };
+  g_array_append_val (b->conditions, c);
+}
+
 static void
-send_batch (MhCore *core)
+add_change (Batch *b, const char *key, MhValue *value)
+{
+  MhChange c = { .key = key, .value = value };
+  g_array_append_val (b->changes, c);
+}
+
+/* False: it does not fit in this transaction any more. */
+static bool
+batch_add (MhCore *core, Batch *b, MhRecord *r)
+{
+  MhJob *job = r->job;
+  guint drops = job->finished ? MIN (job->n_records - 1, DROPS_WITH_FINAL) : 0;
+  guint need = job->finished ? 2 + drops : 1;
+  if (b->changes->len > 0 && b->changes->len + need > b->most)
+    return false;
+  MhValue *v = job->finished ? mh_record_write_final (job, b->txn->tag)
+                             : mh_record_write (r, b->txn->tag);
+  gsize size = mh_value_json_size (v) + 300;
+  if (b->changes->len > 0 && b->bytes + size > TXN_BYTES)
+    {
+      mh_value_unref (v);
+      return false;
+    }
+  b->bytes += size;
+  g_ptr_array_add (b->values, v);
+  const char *key = keep_key (b, mh_record_key (job->spec->id, r->chunk));
+  const char *final = keep_key (b, g_strconcat ("f/", job->spec->id, NULL));
+  const char *put = job->finished ? final : key;
+  add_condition (b, key, r->stamp);
+  add_change (b, put, v);
+  if (b->txn->first_key == NULL)
+    b->txn->first_key = g_strdup (put);
+  if (job->finished || (r->chunk == 0 && r->stamp == 0))
+    add_condition (b, final, 0);
+  if (job->finished && r->stamp)
+    add_change (b, key, NULL);
+  for (guint i = 1; i <= drops && b->changes->len < core->settings->txn_ops; i++)
+    if (job->records[i].stamp)
+      add_change (b, keep_key (b, mh_record_key (job->spec->id, i)), NULL);
+  Write w = { .record = r, .rev = r->rev, .final = job->finished, .cancelled = job->cancelled };
+  g_array_append_val (b->txn->writes, w);
+  r->writing = true;
+  r->again = MH_URGENCY_PROGRESS;
+  return true;
+}
+
+/* `most`: changes that the budget has. What a user waits for goes first, and progress waits as long
+   as anything else takes the changes; what it waits it gathers. */
+static void
+send_batch (MhCore *core, guint most)
 {
   g_autoptr (GArray) conditions = g_array_new (FALSE, FALSE, sizeof (MhCondition));
   g_autoptr (GArray) changes = g_array_new (FALSE, FALSE, sizeof (MhChange));
@@ -332,104 +428,82 @@
   t->writes = g_array_new (FALSE, FALSE, sizeof (Write));
   t->tag = g_strdup_printf ("%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, core->leader.own_epoch,
                             ++core->rev);
-  MhCondition lead = { .key = "leader", .stamp = core->leader.own_stamp };
-  g_array_append_val (conditions, lead);
-
-  gsize bytes = 0;
-  guint batch = core->settings->batch;
-  GList *next;
-  for (GList *l = core->dirty.head; l; l = next)
+  Batch b = { .txn = t,
+              .conditions = conditions,
+              .changes = changes,
+              .keys = keys,
+              .values = values,
+              .most = most };
+  add_condition (&b, "leader", core->leader.own_stamp);
+  bool full = false;
+  for (guint urgency = 0; urgency < MH_URGENCIES && !full; urgency++)
     {
-      MhRecord *r = l->data;
-      MhJob *job = r->job;
-      next = l->next;
-      if (job->finished && r->chunk != 0)
+      GList *next;
+      for (GList *l = core->dirty[urgency].head; l && !full; l = next)
         {
+          MhRecord *r = l->data;
+          next = l->next;
+          /* The final record ends all others. */
+          bool needless = r->job->finished && r->chunk != 0;
+          if (!needless && !writable (r))
+            continue;
+          if (!needless && !batch_add (core, &b, r))
+            {
+              full = true;
+              break;
+            }
           r->queued = false;
-          g_queue_delete_link (&core->dirty, l);
-          continue;
-        }
-      if (!writable (r))
-        continue;
-      guint drops = job->finished ? MIN (job->n_records - 1, DROPS_WITH_FINAL) : 0;
-      guint need = job->finished ? 2 + drops : 1;
-      if (changes->len > 0 && changes->len + need > batch)
-        break;
-      MhValue *v
-          = job->finished ? mh_record_write_final (job, t->tag) : mh_record_write (r, t->tag);
-      gsize size = mh_value_json_size (v) + 300;
-      if (changes->len > 0 && bytes + size > TXN_BYTES)
-        {
-          mh_value_unref (v);
-          break;
-        }
-      bytes += size;
-      g_ptr_array_add (values, v);
-      char *key = mh_record_key (job->spec->id, r->chunk);
-      char *final = g_strconcat ("f/", job->spec->id, NULL);
-      g_ptr_array_add (keys, key);
-      g_ptr_array_add (keys, final);
-      MhCondition own = { .key = key, .stamp = r->stamp };
-      g_array_append_val (conditions, own);
-      MhChange put = { .key = job->finished ? final : key, .value = v };
-      g_array_append_val (changes, put);
-      if (t->first_key == NULL)
-        t->first_key = g_strdup (put.key);
-      if (job->finished || (r->chunk == 0 && r->stamp == 0))
-        {
-          MhCondition never = { .key = final, .stamp = 0 };
-          g_array_append_val (conditions, never);
-        }
-      if (job->finished && r->stamp)
-        {
-          MhChange drop = { .key = key };
-          g_array_append_val (changes, drop);
+          g_queue_delete_link (&core->dirty[urgency], l);
+          full = changes->len >= most;
         }
-      for (guint i = 1; i <= drops && changes->len < core->settings->txn_ops; i++)
-        if (job->records[i].stamp)
-          {
-            MhChange drop = { .key = mh_record_key (job->spec->id, i) };
-            g_ptr_array_add (keys, (gpointer)drop.key);
-            g_array_append_val (changes, drop);
-          }
-      Write w = { .record = r, .rev = r->rev, .final = job->finished, .cancelled = job->cancelled };
-      g_array_append_val (t->writes, w);
-      r->writing = true;
-      r->queued = false;
-      g_queue_delete_link (&core->dirty, l);
-      if (changes->len >= batch)
-        break;
     }
-  while (changes->len < batch && core->garbage.length && t->writes->len == 0)
+  while (changes->len < most && core->garbage.length && t->writes->len == 0)
+    add_change (&b, keep_key (&b, g_queue_pop_head (&core->garbage)), NULL);
+  if (changes->len > 0)
     {
-      MhChange drop = { .key = g_queue_pop_head (&core->garbage) };
-      g_ptr_array_add (keys, (gpointer)drop.key);
-      g_array_append_val (changes, drop);
-    }
-  if (changes->len == 0)
-    {
-      txn_unref (t);
-      return;
+      t->changes = changes->len;
+      t->request = mh_wire_txn ((MhCondition *)conditions->data, conditions->len,
+                                (MhChange *)changes->data, changes->len);
+      core->txns++;
+      txn_send (core, t);
     }
-  t->changes = changes->len;
-  t->request = mh_wire_txn ((MhCondition *)conditions->data, conditions->len,
-                            (MhChange *)changes->data, changes->len);
-  core->txns++;
-  txn_send (core, t);
   txn_unref (t);
 }
 
+static bool
+anything_dirty (const MhCore *core)
+{
+  for (guint i = 0; i < MH_URGENCIES; i++)
+    if (core->dirty[i].length)
+      return true;
+  return core->garbage.length > 0;
+}
+
+/* A transaction is put together only when the budget has changes for it: what waited in a finished
+   one would let a user's submission wait behind it. */
 void
 mh_store_step (MhCore *core)
 {
   if (core->leader.bumping)
     return;
-  while (core->txns < TXNS_IN_FLIGHT && (core->dirty.length || core->garbage.length))
+  while (core->txns < TXNS_IN_FLIGHT && anything_dirty (core))
     {
       guint before = core->txns;
-      send_batch (core);
+      bool urgent = core->dirty[MH_URGENCY_USER].length > 0;
+      /* A part of the burst is kept for what a user waits for. */
+      double kept = urgent ? 0 : core->write_bucket.burst * KEPT_FOR_USERS;
+      double least = MIN (core->write_bucket.burst - kept, urgent ? 1 : 2 + DROPS_WITH_FINAL / 2);
+      if (core->now.mono_us < core->state_pause_us
+          || !mh_bucket_has (&core->write_bucket, kept + least, core->now.mono_us))
+        {
+          mh_core_wake_at (core, MAX (core->now.mono_us + 10000, core->state_pause_us));
+          return;
+        }
+      send_batch (core, (guint)CLAMP (core->write_bucket.tokens - kept, 1, core->settings->batch));
       if (core->txns == before)
         break;
+      /* Its tokens are taken when it is sent, which is now unless the requests have run out. */
+      mh_core_flush (core);
     }
 }
 
@@ -457,6 +531,7 @@
   if (index >= job->spec->tasks || job->tasks[index].attempt)
     return;
   MhTask *t = &job->tasks[index];
+  job->n_begun += attempt > 0;
   t->attempt = attempt;
   if (machine == NULL)
     {
@@ -469,6 +544,7 @@
       if (m == NULL)
         m = mh_fleet_add (core, machine, NULL, NULL, false);
       t->attempt--; /* mh_fleet_attempt_new counts it again */
+      job->n_begun -= attempt > 1; /* ... and this */
       MhAttempt *a = mh_fleet_attempt_new (core, job, index, m);
       a->loaded = true;
     }
@@ -482,14 +558,15 @@
   if (g_str_has_prefix (e->key, "j/"))
     {
       gint64 at;
+      guint per_record;
       bool cancelled;
-      MhJobSpec *spec = mh_record_read_job (e->value, e->key + 2, &at, &cancelled);
+      MhJobSpec *spec = mh_record_read_job (e->value, e->key + 2, &at, &per_record, &cancelled);
       if (spec == NULL)
         {
           mh_core_log (core, G_LOG_LEVEL_CRITICAL, "record %s cannot be read", e->key);
           return;
         }
-      job = mh_job_new (spec, at, &core->now);
+      job = mh_job_new (spec, per_record, core->settings->value_bytes, at, &core->now);
       job->accepted = true;
       job->cancelled = job->cancel_durable = cancelled;
       g_hash_table_insert (core->jobs, job->spec->id, job);
@@ -633,7 +710,8 @@
     return false;
   if (l->stage == READ_FINAL)
     return mh_record_read_final (e->value, &l->found);
-  g_autoptr (MhJobSpec) spec = mh_record_read_job (e->value, l->job, &at, &cancelled);
+  guint chunk;
+  g_autoptr (MhJobSpec) spec = mh_record_read_job (e->value, l->job, &at, &chunk, &cancelled);
   l->found
       = (MhUserAnswer){ .status = 200, .state = cancelled ? MH_JOB_CANCELLED : MH_JOB_PENDING };
   return spec != NULL;
