--- a/src/core-private.h
+++ b/src/core-private.h
@@ -84,8 +84,8 @@
   MhRecord *records;
   guint n_records, chunk; /* tasks in one record */
   guint n_done, n_live, n_running;
-  guint n_unheard; /* live attempts on machines that have not reported to this leader */
-  guint n_begun;   /* tasks that were ever given out */
+  guint n_unheard;     /* live attempts on machines that have not reported to this leader */
+  guint n_begun;       /* tasks that were ever given out */
   guint cursor;        /* no pending task below it */
   bool accepted;       /* its first record is durable */
   bool cancelled;      /* the user asked */
@@ -96,13 +96,13 @@
   GArray *waiters; /* MhWaiter */
   /* placement */
   bool guaranteed;
-  guint errors;       /* failures in a row, on different machines */
-  gint64 retry_us;    /* no start before */
-  gint64 wanted_us;   /* pending and unplaced since; 0: not */
-  gint64 start_by_us; /* the latest start that is in time */
+  guint errors;            /* failures in a row, on different machines */
+  gint64 retry_us;         /* no start before */
+  gint64 wanted_us;        /* pending and unplaced since; 0: not */
+  gint64 start_by_us;      /* the latest start that is in time */
   gint64 run_us, fetch_us; /* expected, of a task; kept by the plan of rentals */
-  bool hopeless;      /* no aim can be met any more */
-  bool starved;       /* nothing of it has begun for long */
+  bool hopeless;           /* no aim can be met any more */
+  bool starved;            /* nothing of it has begun for long */
 };
 
 /* `chunk` 0: as large as values of `value_bytes` take. */
@@ -213,17 +213,17 @@
   bool draining;  /* takes nothing new; what it holds is moved */
   bool releasing; /* decided; holds until it is confirmed */
   bool release_sent;
-  bool gone;       /* confirmed released */
-  bool probing;    /* being asked whether it is alive */
-  guint deaf;      /* probes in a row without an answer */
-  guint ignored;   /* answers in a row that its next report shows nothing of */
+  bool gone;                     /* confirmed released */
+  bool probing;                  /* being asked whether it is alive */
+  guint deaf;                    /* probes in a row without an answer */
+  guint ignored;                 /* answers in a row that its next report shows nothing of */
   guint64 told_epoch, told_tick; /* the last answer to a report: its epoch, that report's tick */
   bool told;                     /* ... must show in the next one */
   bool due;                      /* is to be looked at for orders */
-  gint64 hello_us; /* of the last report that it sent by itself */
-  bool running;    /* listed as such */
+  gint64 hello_us;               /* of the last report that it sent by itself */
+  bool running;                  /* listed as such */
   gint64 known_us, rented_us, heard_us, idle_us;
-  gint64 hinted_us; /* a report of unknown age came */
+  gint64 hinted_us;       /* a report of unknown age came */
   gint64 notice_until_us; /* -1: no notice */
   guint64 tenure, tick, epoch;
   GPtrArray *attempts; /* MhAttempt */
@@ -344,7 +344,8 @@
 void
 mh_scale_release (MhCore *core, MhMachine *machine, const char *why);
 
-/* What is written first: a user or a service waits for it; a start or the end of a job; progress. */
+/* What is written first: a user or a service waits for it; a start or the end of a job; progress.
+ */
 typedef enum
 {
   MH_URGENCY_USER,
@@ -458,11 +459,11 @@
   GHashTable *finals; /* id -> MhUserAnswer, a bounded cache */
   GQueue finals_order;
   GQueue dirty[MH_URGENCIES]; /* MhRecord */
-  GQueue garbage; /* keys to drop */
-  guint txns;     /* in flight */
+  GQueue garbage;             /* keys to drop */
+  guint txns;                 /* in flight */
   guint64 rev;
-  GHashTable *machines;    /* name -> MhMachine */
-  GPtrArray *due;          /* MhMachine, not owned */
+  GHashTable *machines; /* name -> MhMachine */
+  GPtrArray *due;       /* MhMachine, not owned */
   gint64 swept_us;
   MhBucket probe_bucket;
   GPtrArray *types;        /* MhMachineType; NULL until known */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -776,8 +776,7 @@
   /* One at a time, and none to a machine that may not be there: each unanswered command costs an
      epoch. Its next report will carry them. */
   if (!core->settings->direct || m->direct || !m->reported || m->releasing || m->endpoint == NULL
-      || m->loose->len || m->ignored
-      || mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
+      || m->loose->len || m->ignored || mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
       || m->epoch > core->leader.own_epoch || core->leader.bumping
       || !(epoch_only || has_orders (m)))
     return;
@@ -990,8 +989,7 @@
                || (m->deaf >= DEAF_PROBES && !patience->cut_off
                    && now - m->hello_us > patience->report_us))
         mh_scale_release (core, m, m->deaf ? "silent, and gives no answer" : "silent");
-      else if (m->ignored
-               || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
+      else if (m->ignored || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
         ask (core, m);
       return;
     }
--- a/src/leader.c
+++ b/src/leader.c
@@ -241,7 +241,8 @@
             MhReplyFunc reply)
 {
   MhCondition conditions[] = { { "leader", key_stamp }, { "epoch", epoch_stamp } };
-  g_autoptr (MhValue) leader = mh_record_write_leader (core->settings->node, epoch, core->leader.claim);
+  g_autoptr (MhValue) leader
+      = mh_record_write_leader (core->settings->node, epoch, core->leader.claim);
   g_autoptr (MhValue) number = mh_record_write_epoch (epoch);
   MhChange changes[] = { { "leader", leader, core->leader.claim }, { "epoch", number, 0 } };
   mh_core_call (core, MH_RANK_LEASE,
--- a/src/place.c
+++ b/src/place.c
@@ -852,7 +852,8 @@
       mh_core_wake_at (core, job->retry_us);
       return;
     }
-  if (!counts_known (core, job) || !mh_place_quota_fits (core, job, job->spec->cpus, job->spec->gpus))
+  if (!counts_known (core, job)
+      || !mh_place_quota_fits (core, job, job->spec->cpus, job->spec->gpus))
     return;
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
   g_autoptr (GArray) zones = g_array_new (FALSE, FALSE, sizeof (MhZoneCount));
--- a/src/scale.c
+++ b/src/scale.c
@@ -406,8 +406,8 @@
 
 typedef struct
 {
-  GArray *rooms; /* Room */
-  GArray *kinds; /* Kind */
+  GArray *rooms;     /* Room */
+  GArray *kinds;     /* Kind */
   GHashTable *loads; /* zone -> guint */
   GArray *endings;   /* Ending */
   guint next_ending;
@@ -478,8 +478,8 @@
       Room r = room_new (t, k->zone, k->spot);
       if (!room_of_kind (&r, job))
         continue;
-      double slots = MIN (s->cpus > 0 ? t->cpus / s->cpus : n,
-                          s->mem_gb > 0 ? t->mem_gb / s->mem_gb : n);
+      double slots
+          = MIN (s->cpus > 0 ? t->cpus / s->cpus : n, s->mem_gb > 0 ? t->mem_gb / s->mem_gb : n);
       slots = (double)(guint)(slots + 1e-6);
       /* More of the kind will come: half a machine counts as filled sooner or later. */
       slots = MAX (1, MIN (slots, MAX (n, slots / 2)));
@@ -645,8 +645,8 @@
   g_array_insert_val (plan->endings, from, e);
 }
 
-/* How many of `n` tasks may wait for room that running tasks leave: machines rented now would not be
-   there sooner, or the tasks would still end in time. Takes the room. */
+/* How many of `n` tasks may wait for room that running tasks leave: machines rented now would not
+   be there sooner, or the tasks would still end in time. Takes the room. */
 static guint
 may_wait (MhCore *core, Plan *plan, const MhJob *job, guint n)
 {
--- a/src/store.c
+++ b/src/store.c
@@ -384,8 +384,8 @@
   guint need = job->finished ? 2 + drops : 1;
   if (b->changes->len > 0 && b->changes->len + need > b->most)
     return false;
-  MhValue *v = job->finished ? mh_record_write_final (job, b->txn->tag)
-                             : mh_record_write (r, b->txn->tag);
+  MhValue *v
+      = job->finished ? mh_record_write_final (job, b->txn->tag) : mh_record_write (r, b->txn->tag);
   gsize size = mh_value_json_size (v) + 300;
   if (b->changes->len > 0 && b->bytes + size > TXN_BYTES)
     {
@@ -543,7 +543,7 @@
       MhMachine *m = mh_fleet_machine (core, machine);
       if (m == NULL)
         m = mh_fleet_add (core, machine, NULL, NULL, false);
-      t->attempt--; /* mh_fleet_attempt_new counts it again */
+      t->attempt--;                /* mh_fleet_attempt_new counts it again */
       job->n_begun -= attempt > 1; /* ... and this */
       MhAttempt *a = mh_fleet_attempt_new (core, job, index, m);
       a->loaded = true;
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -284,7 +284,8 @@
   spec->image = g_strdup (long_name);
   spec->zone = g_strdup (long_name);
   spec->tasks = 2000;
-  /* The record says how many tasks it holds, so that another version or another limit can read it. */
+  /* The record says how many tasks it holds, so that another version or another limit can read it.
+   */
   MhJob *job = mh_job_new (spec, 0, value_bytes, 0, &now);
   g_assert_cmpuint (job->chunk, >=, 64);
   MhMachine machine = { .name = (char *)"vm-000000000001" };
