--- a/src/core-private.h
+++ b/src/core-private.h
@@ -464,6 +464,7 @@
   guint64 rev;
   GHashTable *machines; /* name -> MhMachine */
   GPtrArray *due;       /* MhMachine, not owned */
+  guint replicas;       /* of services, on all machines */
   gint64 swept_us;
   MhBucket probe_bucket;
   GPtrArray *types;        /* MhMachineType; NULL until known */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -121,6 +121,7 @@
     }
   g_hash_table_remove_all (core->machines);
   g_ptr_array_set_size (core->due, 0);
+  core->replicas = 0;
   g_hash_table_remove_all (core->team_use);
 }
 
@@ -268,7 +269,10 @@
   a->machine->used_gpus += sign * s->gpus;
   a->machine->used_mem += sign * s->mem_gb;
   if (s->shape == MH_SHAPE_SERVICE)
-    a->machine->replicas += sign > 0 ? 1 : -1;
+    {
+      a->machine->replicas += sign > 0 ? 1 : -1;
+      core->replicas += sign > 0 ? 1 : -1;
+    }
   if (!a->machine->reported)
     a->job->n_unheard += sign > 0 ? 1 : -1;
 }
--- a/src/place.c
+++ b/src/place.c
@@ -15,6 +15,9 @@
 /* Starts in one pass: a huge array must not hold up everything else in the process. */
 #define STARTS_PER_PASS 400u
 #define MUCH_DEARER 2
+/* The part of all replicas that one machine may hold before others are preferred: as many as that
+   are lost with it. Up to it replicas gather, so that other machines fall empty. */
+#define REPLICAS_AT_ONCE (1 / 24.0)
 /* Machines on which an array would miss the aim for its start by its image come last. */
 #define TOO_LATE 1000
 /* Jobs that can meet no aim any more count as due this much later: behind those that can, but not
@@ -312,8 +315,8 @@
   gint64 wait_us; /* for the image */
   gint score;     /* of the soft spread */
   double cost;
-  guint replicas; /* for a service: of any, on the machine */
-  bool dear;      /* for a service: costs much more than another that would do */
+  guint crowd; /* for a service: how unwelcome it is by the replicas there */
+  bool dear;   /* for a service: costs much more than another that would do */
 } Candidate;
 
 #define NOT_COUNTED G_MAXUINT
@@ -382,8 +385,8 @@
   return c->wait_us <= patience ? 1 : 2 + (double)(c->wait_us / LATE_STEP_US);
 }
 
-/* The documented order: the soft score; the cost as above; the cheapest by the cpu; the fullest, so
-   that others fall empty; the name. */
+/* The documented order: the soft score; the cost as above; the replicas there; the cheapest by the
+   cpu; the fullest, so that others fall empty; the name. */
 static gint
 by_walk (gconstpointer a, gconstpointer b)
 {
@@ -394,8 +397,8 @@
     return x->cost < y->cost ? -1 : 1;
   if (x->dear != y->dear)
     return y->dear ? -1 : 1;
-  if (x->replicas != y->replicas)
-    return x->replicas < y->replicas ? -1 : 1;
+  if (x->crowd != y->crowd)
+    return x->crowd < y->crowd ? -1 : 1;
   double px = unit_price (x->machine), py = unit_price (y->machine);
   if (px != py)
     return px < py ? -1 : 1;
@@ -405,6 +408,13 @@
   return strcmp (x->machine->name, y->machine->name);
 }
 
+static guint
+crowd_of (const MhCore *core, const MhMachine *m)
+{
+  guint most = MAX (1, (guint)(core->replicas * REPLICAS_AT_ONCE));
+  return m->replicas < most ? most - m->replicas : m->replicas + 1;
+}
+
 /* Where may the job's next task go, given the job's other tasks? */
 static void
 count_zones (Placing *p)
@@ -513,7 +523,7 @@
                       .wait_us = mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb) };
       c.cost = walk_cost (s, &c, p->patience);
       if (p->spread)
-        c.replicas = m->replicas;
+        c.crowd = crowd_of (p->core, m);
       g_array_append_val (p->candidates, c);
       g_array_index (p->zones, MhZoneCount, c.zone).feasible = true;
     }
@@ -559,7 +569,7 @@
   MhRecord *r = mh_job_record (p->job, p->task);
   mh_store_touch (p->core, r, p->spread ? MH_URGENCY_USER : MH_URGENCY_START);
   a->need_rev = r->rev;
-  c->replicas++;
+  c->crowd = crowd_of (p->core, c->machine);
   g_array_index (p->zones, MhZoneCount, c->zone).count++;
   mh_debug (p->core, "task %s/%u: attempt %u on %s (%s%s)", p->job->spec->id, p->task, a->attempt,
             c->machine->name, c->machine->zone, c->wait_us ? "" : ", image there");
--- a/src/scale.c
+++ b/src/scale.c
@@ -15,7 +15,8 @@
    Replicas younger than this are left alone: a start that is undone at once is none. */
 #define EMPTY_ENOUGH 0.5
 #define FULLEST 0.85
-#define EMPTIED_LOOKED_AT 4u
+#define EMPTIED_AT_ONCE (1 / 32.0) /* of the machines; at least one */
+#define EMPTIED_LOOKED_AT 8u       /* in one step */
 #define SETTLED_US (35 * MH_SECOND_US)
 #define RENT_MOST 50u
 #define RELEASE_MOST 100u
@@ -276,107 +277,153 @@
   r->mem -= s->mem_gb * n;
 }
 
-/* Whether everything on `m` has a place where its image is, on machines that stay. */
-static bool
-fits_elsewhere (MhCore *core, const MhMachine *m)
+/* The machines that stay, and how much of them is in use. */
+typedef struct
+{
+  GArray *rooms; /* Room */
+  double all, used;
+} Staying;
+
+static void
+look_for_room (MhCore *core, Staying *staying)
 {
-  g_autoptr (GArray) rooms = g_array_new (FALSE, FALSE, sizeof (Room));
-  double all = 0, used = 0;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      const MhMachine *o = value;
-      if (o == m || !steady (o) || o->draining
-          || mh_fleet_silent (core, o, core->settings->report_us * 2))
+      const MhMachine *m = value;
+      if (!steady (m) || m->draining || mh_fleet_silent (core, m, core->settings->report_us * 2))
         continue;
-      all += o->type->cpus;
-      used += o->used_cpus;
-      Room r = room_new (o->type, o->zone, o->spot);
-      r.machine = o;
-      r.cpus -= o->used_cpus;
-      r.gpus -= o->used_gpus;
-      r.mem -= o->used_mem;
-      g_array_append_val (rooms, r);
+      staying->all += m->type->cpus;
+      staying->used += m->used_cpus;
+      Room r = room_new (m->type, m->zone, m->spot);
+      r.machine = m;
+      r.cpus -= m->used_cpus;
+      r.gpus -= m->used_gpus;
+      r.mem -= m->used_mem;
+      g_array_append_val (staying->rooms, r);
     }
-  if (used + m->used_cpus > all * FULLEST)
+}
+
+/* Whether everything on `m` has a place where its image is, on machines that stay; if so, the place
+   is taken, and the machine's own room is no longer one. */
+static bool
+fits_elsewhere (MhCore *core, const MhMachine *m, Staying *staying)
+{
+  g_autoptr (GArray) rooms = g_array_copy (staying->rooms);
+  double own = m->draining ? 0 : m->type->cpus, moved = m->draining ? m->used_cpus : 0;
+  if (staying->used + moved > (staying->all - own) * FULLEST)
     return false;
+  for (guint k = 0; k < rooms->len; k++)
+    if (g_array_index (rooms, Room, k).machine == m)
+      {
+        g_array_remove_index_fast (rooms, k);
+        break;
+      }
   for (guint i = 0; i < m->attempts->len; i++)
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
       const MhJobSpec *s = a->job->spec;
       if (s->shape != MH_SHAPE_SERVICE)
         continue; /* it ends by itself */
+      if (a->running_us == 0 || core->now.mono_us - a->running_us < SETTLED_US)
+        return false;
       Room *to = NULL;
       for (guint k = 0; k < rooms->len && to == NULL; k++)
         {
           Room *r = &g_array_index (rooms, Room, k);
-          if (room_for (r, s, 1) && room_of_kind (r, a->job)
-              && mh_fleet_cached (r->machine, a->job->image))
+          /* A service of several tasks stays as spread as it is. */
+          if (room_for (r, s, 1) && (s->tasks == 1 || r->zone == m->zone)
+              && room_of_kind (r, a->job) && mh_fleet_cached (r->machine, a->job->image))
             to = r;
         }
-      /* Several tasks of one service are spread; moving them is not worth a second look. */
-      if (to == NULL || s->tasks > 1
-          || (a->running_us == 0 || core->now.mono_us - a->running_us < SETTLED_US))
+      if (to == NULL)
         return false;
       room_take (to, s, 1);
     }
+  g_array_unref (staying->rooms);
+  staying->rooms = g_steal_pointer (&rooms);
+  staying->all -= own;
+  staying->used += moved;
   return true;
 }
 
+typedef struct
+{
+  MhMachine *machine;
+  double waste;
+} Wasteful;
+
+static gint
+by_waste (gconstpointer a, gconstpointer b)
+{
+  double x = ((const Wasteful *)a)->waste, y = ((const Wasteful *)b)->waste;
+  return x > y ? -1 : x < y;
+}
+
+/* Stops one replica at a time, when all else has ended. */
+static void
+empty_machine (MhCore *core, MhMachine *m)
+{
+  for (guint i = 0; i < m->attempts->len; i++)
+    if (mh_machine_attempt (m, i)->job->spec->shape != MH_SHAPE_SERVICE
+        || mh_machine_attempt (m, i)->kill)
+      return;
+  if (m->attempts->len == 0)
+    return;
+  MhAttempt *a = mh_machine_attempt (m, 0);
+  mh_fleet_kill (core, a, mh_job_grace_us (a->job));
+}
+
 /* A machine that holds a few replicas long after the work it was rented for costs as much as a full
    one. Its replicas are moved to where their image is, which takes a moment, and it is given back.
-   One machine at a time, and only while nothing waits. */
+   A small part of the machines at a time, and only while nothing waits. */
 static void
-consolidate (MhCore *core, guint waiting)
+consolidate (MhCore *core, bool waiting)
 {
-  MhMachine *best = NULL, *found[EMPTIED_LOOKED_AT] = { NULL };
-  double waste[EMPTIED_LOOKED_AT] = { 0 };
+  g_autoptr (GArray) wasteful = g_array_new (FALSE, FALSE, sizeof (Wasteful));
+  Staying staying = { .rooms = g_array_new (FALSE, FALSE, sizeof (Room)) };
+  guint draining = 0, all = 0;
   GHashTableIter it;
   gpointer value;
+  look_for_room (core, &staying);
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       MhMachine *m = value;
-      if (m->draining && (waiting || !fits_elsewhere (core, m)))
+      if (m->draining && (waiting || !steady (m) || !fits_elsewhere (core, m, &staying)))
         m->draining = false;
-      if (waiting || !steady (m) || m->attempts->len == 0)
+      if (waiting || !steady (m))
         continue;
+      all++;
       if (m->draining)
         {
-          best = m;
-          break;
+          draining++;
+          empty_machine (core, m);
         }
-      if (m->used_cpus > m->type->cpus * EMPTY_ENOUGH
-          || core->now.mono_us - m->rented_us < LEAST_PAID_US || m->replicas == 0)
+      else if (m->replicas > 0 && m->used_cpus <= m->type->cpus * EMPTY_ENOUGH
+               && core->now.mono_us - m->rented_us >= LEAST_PAID_US)
+        {
+          Wasteful w
+              = { .machine = m, .waste = mh_fleet_hourly (m) * (1 - m->used_cpus / m->type->cpus) };
+          g_array_append_val (wasteful, w);
+        }
+    }
+  g_array_sort (wasteful, by_waste);
+  guint most = MAX (1, (guint)(all * EMPTIED_AT_ONCE));
+  for (guint i = 0; i < wasteful->len && i < EMPTIED_LOOKED_AT && draining < most; i++)
+    {
+      MhMachine *m = g_array_index (wasteful, Wasteful, i).machine;
+      if (!fits_elsewhere (core, m, &staying))
         continue;
-      double w = mh_fleet_hourly (m) * (1 - m->used_cpus / m->type->cpus);
-      for (guint i = 0; i < EMPTIED_LOOKED_AT; i++)
-        if (found[i] == NULL || w > waste[i])
-          {
-            memmove (&found[i + 1], &found[i], (EMPTIED_LOOKED_AT - i - 1) * sizeof *found);
-            memmove (&waste[i + 1], &waste[i], (EMPTIED_LOOKED_AT - i - 1) * sizeof *waste);
-            found[i] = m;
-            waste[i] = w;
-            break;
-          }
+      mh_info (core, "machine %s: being emptied: %.0f of %.0f cpus in use", m->name, m->used_cpus,
+               m->type->cpus);
+      m->draining = true;
+      draining++;
+      empty_machine (core, m);
     }
-  for (guint i = 0; i < EMPTIED_LOOKED_AT && best == NULL && found[i]; i++)
-    if (fits_elsewhere (core, found[i]))
-      best = found[i];
-  if (best == NULL || waiting)
-    return;
-  if (!best->draining)
-    mh_info (core, "machine %s: being emptied: %.0f of %.0f cpus in use", best->name,
-             best->used_cpus, best->type->cpus);
-  best->draining = true;
-  for (guint i = 0; i < best->attempts->len; i++)
-    if (mh_machine_attempt (best, i)->job->spec->shape != MH_SHAPE_SERVICE
-        || mh_machine_attempt (best, i)->kill)
-      return;
-  MhAttempt *a = mh_machine_attempt (best, 0);
-  mh_fleet_kill (core, a, mh_job_grace_us (a->job));
+  g_array_unref (staying.rooms);
 }
 
 /* ---- renting ---- */
@@ -874,6 +921,6 @@
   if (may_rent (core))
     plan_and_rent (core);
   if (core->leader.rebuilt)
-    consolidate (core, tasks_waiting (core));
+    consolidate (core, tasks_waiting (core) > 0);
   return_idle (core);
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -54,6 +54,7 @@
   s->max_skew = 1;
   s->direct = true;
   s->core_share = 0.1;
+  s->max_connections = 1000;
   return s;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -48,6 +48,7 @@
   double state_rps, state_write_rps, cloud_rps;
   guint value_bytes, txn_ops;
   double core_share; /* of a processor */
+  guint max_connections;
   /* the operator's */
   gint64 lease_us;   /* leader's lease in the state service */
   gint64 silence_us; /* a machine silent for this long is given back; 0: derived */
--- a/src/shell.c
+++ b/src/shell.c
@@ -1,6 +1,7 @@
 #include "shell.h"
 
 #include "core.h"
+#include "front.h"
 #include "peer.h"
 
 #include <libsoup/soup.h>
@@ -9,7 +10,11 @@
 #include <string.h>
 
 #define CBOR "application/cbor"
-#define CONNECTIONS_PER_HOST 8
+#define CONNECTIONS_PER_HOST 16
+/* Of all sockets, the part that calls to workers may take: machines that are cut off hold theirs
+   until the call is given up, and must hold up neither the lease nor those who connect to us. */
+#define WORKER_CONNECTIONS 12
+#define WORKER_IDLE_S 3
 
 typedef struct Shell Shell;
 typedef struct Peer Peer;
@@ -20,6 +25,7 @@
   Shell *shell;
   guint64 id;
   SoupServerMessage *message; /* NULL: came from a peer */
+  MhFrontGroup *group;
   gulong finished;
   Peer *peer;
   guint64 peer_id;
@@ -57,7 +63,8 @@
   MhCore *core;
   GRand *random;
   SoupServer *server;
-  SoupSession *session;
+  MhFront *front;
+  SoupSession *session, *worker_session;
   GSocketService *peer_service;
   GSource *timer;
   GHashTable *requests; /* id -> Request */
@@ -145,6 +152,7 @@
 pause_message (Shell *shell, SoupServerMessage *m)
 {
   Request *r = request_new (shell);
+  r->group = mh_front_current (shell->front);
   r->message = g_object_ref (m);
   r->finished = g_signal_connect (m, "finished", G_CALLBACK (message_finished), r);
   soup_server_message_pause (m);
@@ -534,8 +542,9 @@
     }
   call->cancel = g_cancellable_new ();
   call->timeout = g_timeout_add ((guint)(a->timeout_us / 1000), call_timeout, call);
-  soup_session_send_and_read_async (shell->session, call->message, G_PRIORITY_DEFAULT, call->cancel,
-                                    call_done, call);
+  soup_session_send_and_read_async (
+      r->target == MH_TARGET_WORKER ? shell->worker_session : shell->session, call->message,
+      G_PRIORITY_DEFAULT, call->cancel, call_done, call);
 }
 
 /* ---- the pump ---- */
@@ -558,6 +567,7 @@
       else
         respond (r->message, a->status, a->body);
       soup_server_message_unpause (r->message);
+      mh_front_wake (r->group);
     }
   g_hash_table_remove (shell->requests, &a->id);
 }
@@ -568,6 +578,8 @@
   if (shell->pumping)
     return; /* the outer one goes on */
   shell->pumping = true;
+  /* What is started here belongs to the main context, also while a connection's own is turned. */
+  g_main_context_push_thread_default (NULL);
   for (MhAction *a; (a = mh_core_pop (shell->core));)
     {
       switch (a->kind)
@@ -591,6 +603,7 @@
         }
       mh_action_free (a);
     }
+  g_main_context_pop_thread_default (NULL);
   shell->pumping = false;
   g_source_set_ready_time (shell->timer, mh_core_next_wake (shell->core));
 }
@@ -766,35 +779,14 @@
     handle_hello (shell, m, body);
 }
 
-/* ---- pace ---- */
-
-/* A turn of the main loop looks at every open connection, ready or not: with a thousand of them the
-   loop alone once took most of a small share of a core. Turns are spaced so that it takes at most
-   this part of the share; what has become ready meanwhile is handled together. */
-#define LOOP_PART 0.25
-/* What one connection costs in one turn, measured. */
-#define CONNECTION_NS 150
-
-static struct
-{
-  double us_per_fd;
-  gint64 last_us;
-} pace;
-
-static gint
-paced_poll (GPollFD *fds, guint n, gint timeout_ms)
+static SoupSession *
+session_new (guint connections, guint per_host, guint idle_s)
 {
-  gint64 now_us = g_get_monotonic_time ();
-  gint64 wait_us = pace.last_us + (gint64)(pace.us_per_fd * n) - now_us;
-  if (wait_us > 0)
-    {
-      g_usleep ((gulong)wait_us);
-      if (timeout_ms > 0)
-        timeout_ms = MAX (0, timeout_ms - (gint)(wait_us / 1000));
-    }
-  gint ready = g_poll (fds, n, timeout_ms);
-  pace.last_us = g_get_monotonic_time ();
-  return ready;
+  SoupSession *session = soup_session_new_with_options (
+      "proxy-resolver", NULL, "max-conns", (int)connections, "max-conns-per-host", (int)per_host,
+      "timeout", 0, "idle-timeout", idle_s, NULL);
+  soup_session_remove_feature_by_type (session, SOUP_TYPE_CONTENT_DECODER);
+  return session;
 }
 
 bool
@@ -815,7 +807,8 @@
       g_set_error_literal (error, MH_SETTINGS_ERROR, 0, "front or peer_bind is not an IP address");
       return false;
     }
-  if (!soup_server_listen (shell.server, front, 0, error))
+  shell.front = mh_front_new (shell.server, front, settings->max_connections, error);
+  if (shell.front == NULL)
     return false;
   shell.peer_service = g_socket_service_new ();
   if (!g_socket_listener_add_address (G_SOCKET_LISTENER (shell.peer_service), peer,
@@ -824,10 +817,9 @@
     return false;
   g_signal_connect (shell.peer_service, "incoming", G_CALLBACK (peer_incoming), &shell);
 
-  shell.session = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns", 256,
-                                                 "max-conns-per-host", CONNECTIONS_PER_HOST,
-                                                 "timeout", 0, "idle-timeout", 30, NULL);
-  soup_session_remove_feature_by_type (shell.session, SOUP_TYPE_CONTENT_DECODER);
+  shell.session = session_new (2 * CONNECTIONS_PER_HOST, CONNECTIONS_PER_HOST, 30);
+  shell.worker_session
+      = session_new (MAX (16, settings->max_connections / WORKER_CONNECTIONS), 1, WORKER_IDLE_S);
 
   MhNow t = now (&shell);
   shell.core = mh_core_new (settings, &t);
@@ -835,8 +827,6 @@
   g_source_set_callback (shell.timer, timer_fired, &shell, NULL);
   g_source_set_ready_time (shell.timer, 0);
   g_source_attach (shell.timer, NULL);
-  pace.us_per_fd = CONNECTION_NS / 1000.0 / (LOOP_PART * settings->core_share);
-  g_main_context_set_poll_func (NULL, paced_poll);
   g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
   g_info ("%s: users and workers on %s, controllers on %s", settings->node, settings->front,
           settings->peer_bind);
--- a/src/toml-file.cpp
+++ b/src/toml-file.cpp
@@ -119,5 +119,8 @@
   double share = number (p["resources"]["core_share"]);
   if (share > 0)
     s->core_share = share;
+  double connections = number (p["resources"]["max_connections"]);
+  if (connections >= 1)
+    s->max_connections = (guint)MIN (connections, 1e6);
   return true;
 }
