--- a/src/front.c
+++ b/src/front.c
@@ -10,6 +10,7 @@
 #define GROUP_SIZE 24u
 /* Turns in a row, before others have theirs. */
 #define TURNS 8u
+#define UNWATCHED_MS 500
 
 struct MhFrontGroup
 {
@@ -18,6 +19,7 @@
   GMainContext *context;
   int epoll;
   GArray *watched; /* GPollFD, as epoll has them */
+  bool unwatched;  /* epoll refused one of them */
   bool stale;      /* a connection was added: a closed one's fd may have come back as another */
 };
 
@@ -53,9 +55,13 @@
 control (MhFrontGroup *group, int operation, const GPollFD *fd)
 {
   struct epoll_event event = { .events = epoll_events (fd->events), .data.fd = fd->fd };
-  /* A closed fd has left by itself. */
-  if (epoll_ctl (group->epoll, operation, fd->fd, &event) < 0 && errno != ENOENT && errno != EBADF)
-    g_info ("watching a connection: %s", g_strerror (errno));
+  /* A closed fd has left by itself, and its number may be something else by now. One that cannot be
+     watched is looked at now and then. */
+  if (epoll_ctl (group->epoll, operation, fd->fd, &event) < 0 && operation != EPOLL_CTL_DEL)
+    {
+      g_debug ("watching a connection: %s", g_strerror (errno));
+      group->unwatched = true;
+    }
 }
 
 /* Both lists are in the order of the fds. */
@@ -88,7 +94,7 @@
           j++;
         }
     }
-  group->stale = false;
+  group->stale = group->unwatched;
   g_array_set_size (group->watched, 0);
   g_array_append_vals (group->watched, fds, n);
 }
@@ -111,7 +117,10 @@
       fds = more;
     }
   g_main_context_release (group->context);
+  group->unwatched = false;
   watch (group, fds, (guint)n);
+  if (group->unwatched)
+    timeout_ms = timeout_ms < 0 ? UNWATCHED_MS : MIN (timeout_ms, UNWATCHED_MS);
   g_source_set_ready_time (&group->source, ready || timeout_ms == 0 ? 0
                                            : timeout_ms < 0
                                                ? -1
--- a/src/place.c
+++ b/src/place.c
@@ -128,6 +128,8 @@
     return tx < ty ? -1 : 1;
   if (x->starved != y->starved)
     return x->starved ? -1 : 1;
+  if (x->starved)
+    return by_submission (a, b);
   if (x->spec->priority != y->spec->priority)
     return x->spec->priority > y->spec->priority ? -1 : 1;
   if (x->start_by_us != y->start_by_us)
@@ -295,6 +297,15 @@
   bool spot;
 } Full;
 
+/* A machine that is on its way, and the image that tasks wait for it with. */
+typedef struct
+{
+  const MhMachine *machine;
+  gint64 due_us;
+  const GRefString *image; /* NULL: none */
+  double cpus, mem;        /* left */
+} Coming;
+
 typedef struct
 {
   MhCore *core;
@@ -302,6 +313,7 @@
   GArray *zones;     /* MhZoneCount, of all zones with live machines */
   GArray *full;      /* Full */
   GPtrArray *stuck;  /* MhJob: no task could be stopped for it */
+  GArray *coming;    /* Coming */
   guint starts, preemptions;
   bool may_preempt;
 } Pass;
@@ -334,7 +346,9 @@
   bool soft, spread;
   gint64 patience; /* how long a start may still take */
   guint task;      /* next pending */
-  guint first;     /* of the sorted candidates: none below it has room */
+  bool waits;      /* for a machine that is coming */
+  bool passed_over;
+  guint first; /* of the sorted candidates: none below it has room */
 } Placing;
 
 static bool
@@ -789,6 +803,33 @@
   return true;
 }
 
+/* Fetches side by side share a machine's rate, so that each takes as long as all. A replica whose
+   image would come later so than on a machine that is on its way and has no other to fetch waits
+   for that one. */
+static bool
+better_wait (Placing *p, const Candidate *c)
+{
+  const MhJobSpec *s = p->job->spec;
+  gint64 now = p->core->now.mono_us;
+  if (!p->spread || c->wait_us <= mh_place_fetch_us (p->core, s))
+    return false;
+  for (guint i = 0; i < p->pass->coming->len; i++)
+    {
+      Coming *m = &g_array_index (p->pass->coming, Coming, i);
+      if ((m->image && m->image != p->job->image) || m->machine->spot
+          || !p->type_fits[m->machine->type_index] || m->cpus + EPSILON < s->cpus
+          || m->mem + EPSILON < s->mem_gb || (p->job->zone && p->job->zone != m->machine->zone))
+        continue;
+      if (m->due_us - now + mh_place_fetch_us (p->core, s) >= c->wait_us)
+        continue;
+      m->image = p->job->image;
+      m->cpus -= s->cpus;
+      m->mem -= s->mem_gb;
+      return true;
+    }
+  return false;
+}
+
 /* Starts what finds room. */
 static void
 place_tasks (Placing *p)
@@ -798,7 +839,10 @@
   const MhJobSpec *s = job->spec;
   while (next_pending (p) && p->pass->starts < STARTS_PER_PASS)
     {
-      job->cursor = p->task;
+      /* Not past a task that was passed over: it once was forgotten with that, and a replica never
+         started. */
+      if (!p->passed_over)
+        job->cursor = p->task;
       if (!mh_place_quota_fits (core, job, s->cpus, s->gpus))
         return;
       Candidate *c = first_fit (p);
@@ -813,6 +857,13 @@
       if (p->spread && c->wait_us > p->patience && core->leader.rebuilt
           && preempt_one (p, MAX (p->patience, 0)))
         {
+          p->passed_over = true;
+          p->task++;
+          continue;
+        }
+      if (better_wait (p, c))
+        {
+          p->waits = p->passed_over = true;
           p->task++;
           continue;
         }
@@ -853,6 +904,24 @@
     }
 }
 
+/* Room that falls free bit by bit would always be taken by smaller tasks: the machine that has the
+   most is kept for a starved job until it is enough. */
+static void
+reserve (Placing *p)
+{
+  const MhJobSpec *s = p->job->spec;
+  MhMachine *best = NULL;
+  for (guint i = 0; i < p->pass->usable->len; i++)
+    {
+      MhMachine *m = g_ptr_array_index (p->pass->usable, i);
+      if (fits_kind (p, m) && zone_allows (p, p->zone_of[m->zone_index]) && m->promised_cpus == 0
+          && (best == NULL || free_cpus (m) > free_cpus (best)))
+        best = m;
+    }
+  if (best)
+    promise (best, s);
+}
+
 static void
 place_job (Pass *pass, MhJob *job)
 {
@@ -881,10 +950,26 @@
   prepare (&p);
   gather (&p);
   place_tasks (&p);
-  if (mh_job_pending (job) && pass->may_preempt)
+  if (job->starved && job->n_begun == 0)
+    reserve (&p);
+  if (mh_job_pending (job) && !p.waits && pass->may_preempt)
     make_room (&p);
 }
 
+static void
+add_coming (Pass *pass, const MhMachine *m)
+{
+  gint64 now = pass->core->now.mono_us;
+  if (m->reported || m->gone || m->releasing || m->type == NULL || m->zone == NULL
+      || now - m->rented_us > 2 * m->type->boot_us)
+    return;
+  Coming c = { .machine = m,
+               .due_us = MAX (m->rented_us + m->type->boot_us, now + m->type->boot_us / 4),
+               .cpus = m->type->cpus,
+               .mem = m->type->mem_gb };
+  g_array_append_val (pass->coming, c);
+}
+
 /* All machines once: who takes part, and which zones count. */
 static void
 look_round (Pass *pass)
@@ -896,6 +981,7 @@
     {
       MhMachine *m = value;
       m->promised_cpus = m->promised_mem = 0;
+      add_coming (pass, m);
       if (!live (m))
         continue;
       guint i = 0;
@@ -934,11 +1020,13 @@
   g_autoptr (GArray) zones = g_array_new (FALSE, FALSE, sizeof (MhZoneCount));
   g_autoptr (GArray) full = g_array_new (FALSE, FALSE, sizeof (Full));
   g_autoptr (GPtrArray) stuck = g_ptr_array_new ();
+  g_autoptr (GArray) coming = g_array_new (FALSE, FALSE, sizeof (Coming));
   Pass pass = { .core = core,
                 .usable = machines,
                 .zones = zones,
                 .full = full,
                 .stuck = stuck,
+                .coming = coming,
                 .may_preempt = now >= core->preempted_us + PREEMPT_US };
   look_round (&pass);
   for (guint i = 0; i < queue->len; i++)
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -202,6 +202,8 @@
   if (w == NULL || !w->machine->up || w->machine->gone)
     return;
   /* Held back by a hang or a cut, it is carried out afterwards, however late. */
+  if (w->deaf_us > sim->now_us)
+    return;
   gint64 until
       = MAX (w->machine->hung_until_us, MAX (w->cut_us, sim->nodes[f->node].workers_cut_us));
   if (until > sim->now_us)
@@ -234,6 +236,11 @@
     }
   if (r->target == MH_TARGET_STATE && sim->now_us < sim->nodes[f->node].state_cut_us)
     return;
+  if (strcmp (r->path, "/multi") == 0 && sim->nodes[f->node].hold_writes)
+    {
+      g_ptr_array_add (sim->held_writes, g_rc_box_acquire (f));
+      return;
+    }
   if (strcmp (r->path, "/multi") == 0 && sim->now_us < sim->nodes[f->node].writes_lost_us)
     return;
   guint64 token = (guint64)(gsize)f;
@@ -252,6 +259,18 @@
   g_ptr_array_set_size (sim->held, 0);
 }
 
+void
+sim_release_write (Sim *sim)
+{
+  g_assert_cmpuint (sim->held_writes->len, >, 0);
+  Flight *f = g_ptr_array_index (sim->held_writes, 0);
+  SimNode *n = &sim->nodes[f->node];
+  n->hold_writes = false;
+  flight_arrive (sim, f);
+  n->hold_writes = true;
+  g_ptr_array_remove_index (sim->held_writes, 0);
+}
+
 static SimNode *
 node_named (Sim *sim, const char *name)
 {
@@ -535,7 +554,8 @@
   SimWorker *w = h->worker;
   if (!w->flying || w->flight != h->flight || sim->now_us > h->sent_us + HELLO_TIMEOUT_US)
     return;
-  if (w->machine->hung_until_us > sim->now_us || w->cut_us > sim->now_us)
+  if (w->machine->hung_until_us > sim->now_us || w->cut_us > sim->now_us
+      || w->deaf_us > sim->now_us)
     return; /* dropped: too late when it goes on */
   g_autofree char *node = mh_value_get_text (h->body, "dispatcher");
   SimNode *to = node ? node_named (sim, node) : NULL;
@@ -628,7 +648,8 @@
     return;
   if (w->flying && sim->now_us > w->sent_us + HELLO_TIMEOUT_US)
     {
-      w->node = (w->node + 1) % SIM_NODES;
+      if (w->node_only < 0)
+        w->node = (w->node + 1) % SIM_NODES;
       worker_next (w, MH_SECOND_US);
     }
   bool changed = signature (m) != w->signature && sim->now_us > w->sent_us + MH_SECOND_US / 2;
@@ -647,6 +668,15 @@
   h->body = world_report (sim->world, m);
   w->signature = signature (m);
   gint64 arrives = MAX (sim->now_us + delay (sim), w->cut_us > sim->now_us ? w->cut_us + 1000 : 0);
+  if (sim->copies > 0 && g_rand_double (sim->random) < sim->copies)
+    {
+      Hello *copy = g_memdup2 (h, sizeof *h);
+      copy->body = cbor_incref (h->body);
+      copy->flight = 0; /* nobody waits for its answer */
+      copy->node = (guint)g_rand_int_range (sim->random, 0, SIM_NODES);
+      at (sim, sim->now_us + g_rand_int_range (sim->random, 1, 60 * MH_SECOND_US), hello_arrive,
+          copy, hello_free);
+    }
   if (lost (sim))
     hello_free (h);
   else
@@ -662,6 +692,7 @@
       w->sim = sim;
       w->machine = g_ptr_array_index (sim->world->machines, i);
       w->node = (guint)g_rand_int_range (sim->random, 0, SIM_NODES);
+      w->node_only = -1;
       g_ptr_array_add (sim->workers, w);
       at (sim, sim->now_us, worker_turn, w, NULL);
     }
@@ -693,6 +724,7 @@
     rule (sim, "forgotten", u, a);
   if (a->status != 200 && a->status != 201)
     return;
+  u->answered_us = sim->now_us;
   if (!j->accepted && o->verb == MH_USER_SUBMIT)
     j->accepted = true;
   /* An answer to what was asked before the user knew more may be older. */
@@ -861,6 +893,7 @@
   sim->workers = g_ptr_array_new_with_free_func (g_free);
   sim->users = g_ptr_array_new_with_free_func (g_free);
   sim->held = g_ptr_array_new_with_free_func (flight_unref);
+  sim->held_writes = g_ptr_array_new_with_free_func (flight_unref);
   sim->log = g_ptr_array_new_with_free_func (g_free);
   for (guint i = 0; i < SIM_NODES; i++)
     {
@@ -893,6 +926,7 @@
                                 + i * g_array_get_element_size (sim->world->watches)));
   g_sequence_free (sim->events);
   g_ptr_array_unref (sim->held);
+  g_ptr_array_unref (sim->held_writes);
   g_ptr_array_unref (sim->workers);
   g_ptr_array_unref (sim->users);
   g_ptr_array_unref (sim->log);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -24,6 +24,7 @@
   gint64 state_cut_us, peers_cut_us, workers_cut_us; /* cut off until */
   /* Its transactions are lost on the way, or carried out without an answer: until. */
   gint64 writes_lost_us, write_answers_lost_us;
+  bool hold_writes; /* they arrive only when the test releases them */
 } SimNode;
 
 typedef struct
@@ -33,6 +34,8 @@
   guint node;
   gint64 next_us, sent_us;
   gint64 cut_us, mute_us; /* without network, sends no report: until */
+  gint64 deaf_us;         /* its reports arrive, but no answer or command reaches it: until */
+  gint node_only;         /* reports to this node alone; -1: to any */
   bool flying;
   guint flight;
   guint64 signature;
@@ -45,7 +48,8 @@
   bool withdraw; /* the user asks for it */
   bool told_done, told_cancelled;
   guint last_status;
-  gint64 told_us; /* of the last final answer */
+  gint64 told_us;     /* of the last final answer */
+  gint64 answered_us; /* the last question that was */
 } SimUser;
 
 struct Sim
@@ -60,8 +64,9 @@
   GPtrArray *workers; /* SimWorker */
   GPtrArray *users;   /* SimUser */
   double lose, late;  /* chance that a message or its answer is lost, that it comes late */
+  double copies;      /* ... that another copy of a report comes, up to a minute later */
   bool hold_commands; /* direct commands arrive only when the test releases them */
-  GPtrArray *held;
+  GPtrArray *held, *held_writes;
   GPtrArray *log; /* lines of all nodes */
 };
 
@@ -82,6 +87,9 @@
 sim_leader (Sim *sim); /* NULL: none that is valid */
 void
 sim_release_commands (Sim *sim);
+/* The first of the held writes arrives. */
+void
+sim_release_write (Sim *sim);
 /* Hands a report to a node, as if it had been on its way for long. */
 void
 sim_late_report (Sim *sim, SimNode *node, const MhValue *report);
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -665,6 +665,276 @@
   finish (sim);
 }
 
+/* ---- what the operators added ---- */
+
+/* The reports of a machine arrive, but nothing reaches it. It looks alive, and even reports on
+   time; what it holds can run elsewhere only when it is given back. */
+static void
+test_unheeding_machine (void)
+{
+  Sim *sim = sim_new (30);
+  SimUser *u = running_service (sim, 1, 1);
+  SimWorker *w = worker_of (sim, "j-000001/0");
+  w->node_only = (gint)sim_leader (sim)->index;
+  w->deaf_us = sim->now_us + 300 * MH_SECOND_US;
+  gint64 from = sim->now_us;
+  /* One more task for it, which it never shows. */
+  SimUser *array = sim_submit (sim, sim_spec (3, MH_SHAPE_ARRAY, 2, 1), 2);
+  WAIT (sim, 40, is_gone, w->machine);
+  g_assert_cmpint (sim->now_us - from, <, sim->settings->worker_lease_us);
+  WAIT (sim, 30, all_run, u);
+  WAIT (sim, 30, told_done, array);
+  finish (sim);
+}
+
+/* A copy of a report comes late to a leader that has heard nothing newer, of a machine that was
+   given back long ago: it brings no machine back, and nothing is placed there. */
+static void
+test_late_copy_of_returned_machine (void)
+{
+  Sim *sim = sim_new (31);
+  SimUser *u = sim_submit (sim, sim_spec (1, MH_SHAPE_ARRAY, 1, 1), 1);
+  WAIT (sim, 60, told_done, u);
+  WorldMachine *m = g_ptr_array_index (sim->world->machines, 0);
+  g_autoptr (MhValue) copy = world_report (sim->world, m);
+  WAIT (sim, 200, is_gone, m);
+  guint lives = sim->world->machines->len;
+  sim_stop_node (sim, sim_leader (sim)->index);
+  WAIT (sim, 10, has_leader, NULL);
+  sim_run (sim, 1);
+  sim_late_report (sim, sim_leader (sim), copy);
+  sim_late_report (sim, sim_leader (sim), copy);
+  SimUser *next = sim_submit (sim, sim_spec (3, MH_SHAPE_SERVICE, 1, 1), 0);
+  WAIT (sim, 15, all_run, next);
+  g_assert_cmpuint (sim->world->machines->len, >, lives);
+  g_assert_false (sim_logged (sim, "not known before"));
+  finish (sim);
+}
+
+/* The leader keeps its workers and loses all else. Nothing that runs is lost, and the workers are
+   with the successor long before the former leader would have let them go. */
+static void
+test_isolated_leader (void)
+{
+  Sim *sim = sim_new (32);
+  SimUser *u = running_service (sim, 1, 4);
+  SimNode *old = sim_leader (sim);
+  for (guint i = 0; i < sim->workers->len; i++)
+    ((SimWorker *)g_ptr_array_index (sim->workers, i))->node = old->index;
+  sim_run (sim, 10); /* the cloud lists the machines */
+  old->state_cut_us = old->peers_cut_us = sim->now_us + 60 * MH_SECOND_US;
+  sim_run (sim, 10);
+  SimNode *now = sim_leader (sim);
+  g_assert_true (now && now != old);
+  for (guint i = 0; i < sim->world->machines->len; i++)
+    {
+      const WorldMachine *m = g_ptr_array_index (sim->world->machines, i);
+      SimWorker *w = g_ptr_array_index (sim->workers, i);
+      g_assert_true (m->gone || w->node != old->index);
+    }
+  sim_run (sim, 60);
+  g_assert_cmpuint (sim->world->starts, ==, 4);
+  g_assert_cmpuint (world_running (sim->world, u->job->spec->id), ==, 4);
+  finish (sim);
+}
+
+/* A controller ends while its election is being written, and is back at once. What its earlier life
+   wrote arrives late, with the same node and the same epoch, but attached to a lease that nobody
+   renews: the new life must not take that for its own. */
+static void
+test_back_in_mid_election (void)
+{
+  Sim *sim = sim_new (33);
+  for (guint i = 0; i < SIM_NODES; i++)
+    sim_stop_node (sim, i);
+  g_tree_remove_all (sim->world->keys);
+  SimNode *n = &sim->nodes[0];
+  n->hold_writes = true;
+  sim_start_node (sim, 0);
+  sim_run (sim, 0.2);
+  g_assert_cmpuint (sim->held_writes->len, ==, 1);
+  sim_stop_node (sim, 0);
+  sim_run (sim, 0.1);
+  sim_start_node (sim, 0);
+  sim_run (sim, 0.2);
+  g_assert_cmpuint (sim->held_writes->len, ==, 2);
+  sim_release_write (sim); /* the earlier life's */
+  sim_start_node (sim, 1);
+  /* sim_leader() asserts that there are never two. */
+  for (guint i = 0; i < 60; i++)
+    {
+      sim_run (sim, 0.1);
+      sim_leader (sim);
+    }
+  n->hold_writes = false;
+  sim_run (sim, 5);
+  g_assert_nonnull (sim_leader (sim));
+  finish (sim);
+}
+
+/* Questions about jobs that only the state service remembers are answered while there is always
+   more to write than the budget allows. */
+static void
+test_questions_beside_writes (void)
+{
+  Sim *sim = sim_new (34);
+  MhUserAnswer a;
+  for (guint i = 1; i <= 30; i++)
+    sim_submit (sim, sim_spec (i, MH_SHAPE_ARRAY, 1, 0.2), 0.5);
+  WAIT (sim, 90, sim_all_settled, NULL);
+  /* New controllers have no answers in memory. */
+  for (guint i = 0; i < SIM_NODES; i++)
+    {
+      sim_stop_node (sim, i);
+      sim->nodes[i].settings->state_write_rps = 1.5;
+      sim_start_node (sim, i);
+    }
+  WAIT (sim, 10, has_leader, NULL);
+  for (guint i = 101; i <= 120; i++)
+    sim_submit (sim, sim_spec (i, MH_SHAPE_ARRAY, 4, 0.2), 1);
+  sim_run (sim, 5);
+  for (guint i = 1; i <= 30; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("j-%06u", i);
+      gint64 asked = sim->now_us;
+      g_assert_cmpuint (sim_ask (sim, sim_leader (sim)->index, MH_USER_STATUS, id, NULL, &a), ==,
+                        200);
+      g_assert_cmpint (a.state, ==, MH_JOB_DONE);
+      g_assert_cmpint (sim->now_us - asked, <, 2 * MH_SECOND_US);
+    }
+  finish (sim);
+}
+
+/* A large job of the least rank begins within four minutes, though smaller ones of a higher rank
+   keep coming and would take all there is. */
+static void
+test_large_job_begins (void)
+{
+  Sim *sim = sim_new (35);
+  sim->world->capacity = 1;
+  MhJobSpec *s = sim_spec (2, MH_SHAPE_ARRAY, 300, 4);
+  s->priority = MH_PRIORITY_LOW;
+  world_add_machine (sim->world, "large", "a", false);
+  sim_run (sim, 10);
+  for (guint i = 0; i < 4; i++)
+    sim_submit (sim, sim_spec (101 + 2 * i, MH_SHAPE_ARRAY, 4, 2), 6);
+  SimUser *large = sim_submit (sim, s, 5);
+  gint64 from = sim->now_us;
+  guint next = 201;
+  while (large->job->n_done == 0 && sim->now_us - from < 240 * MH_SECOND_US)
+    {
+      sim_submit (sim, sim_spec (next++, MH_SHAPE_ARRAY, 4, 2), 6);
+      sim_run (sim, 3);
+    }
+  g_assert_cmpuint (large->job->n_done, >, 0);
+  finish (sim);
+}
+
+static void
+count_by_zone (Sim *sim, const char *job, guint *counts, guint n)
+{
+  memset (counts, 0, n * sizeof *counts);
+  for (guint i = 0; i < sim->world->machines->len; i++)
+    {
+      const WorldMachine *m = g_ptr_array_index (sim->world->machines, i);
+      for (guint k = 0; k < m->tasks->len; k++)
+        {
+          const WorldTask *t = &g_array_index (m->tasks, WorldTask, k);
+          guint zone = (guint)(m->zone[0] - 'a');
+          if (zone < n && t->phase != MH_TASK_ENDED && strcmp (t->job, job) == 0)
+            counts[zone]++;
+        }
+    }
+}
+
+/* Four zones. While one is full it still enters the minimum, and the fourth replica waits for it;
+   when it has no live machine any more it does not count, and the replica goes elsewhere. */
+static void
+test_spread_four_zones (void)
+{
+  Sim *sim = sim_new (36);
+  guint counts[4];
+  sim->world->zones = 4;
+  sim->world->capacity = 4;
+  WorldMachine *last = NULL;
+  for (guint i = 0; i < 4; i++)
+    {
+      const char zone[] = { (char)('a' + i), '\0' };
+      last = world_add_machine (sim->world, "large", zone, false);
+    }
+  sim_run (sim, 10);
+  for (guint i = 1; i <= 4; i += 3)
+    {
+      MhJobSpec *filler = sim_spec (i, MH_SHAPE_SERVICE, 1, 8);
+      filler->zone = g_strdup ("d");
+      SimUser *f = sim_submit (sim, filler, 0);
+      WAIT (sim, 30, all_run, f);
+    }
+  SimUser *u = sim_submit (sim, sim_spec (2, MH_SHAPE_SERVICE, 4, 1), 0);
+  sim_run (sim, 20);
+  count_by_zone (sim, "j-000002", counts, 4);
+  for (guint i = 0; i < 4; i++)
+    g_assert_cmpuint (counts[i], ==, i < 3 ? 1 : 0);
+  last->hung_until_us = sim->now_us + 1000 * MH_SECOND_US;
+  WAIT (sim, 60, is_gone, last);
+  sim->world->capacity = 3; /* no other in its place */
+  WAIT (sim, 30, all_run, u);
+  finish (sim);
+}
+
+/* Replicas with different images do not crowd onto the first machine that is up, where their
+   fetches would share its rate, while others are about to be; and a task that was passed over so is
+   not forgotten. */
+static void
+test_images_apart (void)
+{
+  Sim *sim = sim_new (37);
+  SimUser *u[4];
+  for (guint i = 0; i < 4; i++)
+    {
+      MhJobSpec *s = sim_spec (1 + i, MH_SHAPE_SERVICE, 1, 3);
+      g_free (s->image);
+      s->image = g_strdup_printf ("own-%u", i);
+      s->image_gb = 10;
+      g_strfreev (s->types);
+      s->types = g_strsplit ("small,large", ",", -1);
+      u[i] = sim_submit (sim, s, 0);
+    }
+  for (guint i = 0; i < 3; i++)
+    world_add_machine (sim->world, "large", "a", false);
+  for (guint i = 0; i < 4; i++)
+    WAIT (sim, 60, all_run, u[i]);
+  guint used = 0;
+  for (guint i = 0; i < sim->world->machines->len; i++)
+    used += ((WorldMachine *)g_ptr_array_index (sim->world->machines, i))->tasks->len > 0;
+  g_assert_cmpuint (used, >, 1);
+  finish (sim);
+}
+
+/* Several hundred machines, all controllers crash, and everything is served. */
+static void
+test_large_fleet (void)
+{
+  Sim *sim = sim_new (38);
+  sim->world->capacity = 400;
+  for (guint i = 0; i < 300; i++)
+    world_add_machine (sim->world, "small", i % 2 ? "a" : "b", false);
+  SimUser *u = running_service (sim, 1, 4);
+  SimUser *arrays[6];
+  for (guint i = 0; i < G_N_ELEMENTS (arrays); i++)
+    arrays[i] = sim_submit (sim, sim_spec (10 + i, MH_SHAPE_ARRAY, 60, 0.25), 4);
+  sim_run (sim, 3);
+  for (guint i = 0; i < SIM_NODES; i++)
+    sim_stop_node (sim, i);
+  sim_run (sim, 0.5);
+  for (guint i = 0; i < SIM_NODES; i++)
+    sim_start_node (sim, i);
+  for (guint i = 0; i < G_N_ELEMENTS (arrays); i++)
+    WAIT (sim, 120, told_done, arrays[i]);
+  g_assert_cmpuint (world_running (sim->world, u->job->spec->id), ==, 4);
+  finish (sim);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -699,5 +969,14 @@
   ADD ("guarantee", test_guarantee);
   ADD ("no-preemption-cycle", test_no_preemption_cycle);
   ADD ("idle-followers-sleep", test_idle_followers_sleep);
+  ADD ("unheeding-machine", test_unheeding_machine);
+  ADD ("late-copy-of-returned-machine", test_late_copy_of_returned_machine);
+  ADD ("isolated-leader", test_isolated_leader);
+  ADD ("back-in-mid-election", test_back_in_mid_election);
+  ADD ("questions-beside-writes", test_questions_beside_writes);
+  ADD ("large-job-begins", test_large_job_begins);
+  ADD ("spread-four-zones", test_spread_four_zones);
+  ADD ("images-apart", test_images_apart);
+  ADD ("large-fleet", test_large_fleet);
   return g_test_run ();
 }
--- a/tests/test-random.c
+++ b/tests/test-random.c
@@ -12,7 +12,7 @@
       = sim->workers->len
             ? g_ptr_array_index (sim->workers, g_rand_int_range (r, 0, (gint)sim->workers->len))
             : NULL;
-  switch (g_rand_int_range (r, 0, 11))
+  switch (g_rand_int_range (r, 0, 14))
     {
     case 0:
     case 1:
@@ -45,6 +45,18 @@
       if (w)
         w->cut_us = until;
       break;
+    case 10: /* back at once, whatever it was doing: perhaps in the middle of an election */
+      sim_stop_node (sim, n->index);
+      sim_run (sim, g_rand_double_range (r, 0.01, 0.4));
+      sim_start_node (sim, n->index);
+      break;
+    case 11: /* keeps its workers alone */
+      n->state_cut_us = n->peers_cut_us = until;
+      break;
+    case 12:
+      if (w)
+        w->deaf_us = until + 20 * MH_SECOND_US;
+      break;
     default:
       if (w)
         {
@@ -63,6 +75,7 @@
   guint number = 0;
   sim->lose = 0.01;
   sim->late = 0.005;
+  sim->copies = 0.03;
   for (guint turn = 0; turn < 60; turn++)
     {
       if (turn % 3 == 0)
@@ -91,7 +104,7 @@
       sim_leader (sim); /* asserts that there is at most one */
     }
   /* Then all is well again, and everything that was accepted must come to its end. */
-  sim->lose = sim->late = 0;
+  sim->lose = sim->late = sim->copies = 0;
   for (guint i = 0; i < SIM_NODES; i++)
     sim_start_node (sim, i);
   for (guint i = 0; i < sim->users->len; i++)
@@ -114,6 +127,13 @@
                       u->told_done ? ", told done" : "");
       }
   g_assert_true (settled);
+  /* Nobody's job is forgotten: each was asked about many times since. */
+  sim_run (sim, 75);
+  for (guint i = 0; i < sim->users->len; i++)
+    {
+      const SimUser *u = g_ptr_array_index (sim->users, i);
+      g_assert_cmpint (sim->now_us - u->answered_us, <, 75 * MH_SECOND_US);
+    }
   g_assert_cmpuint (sim->world->starts, >, 0);
   sim_free (sim);
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -96,6 +96,7 @@
   w->machines = g_ptr_array_new_with_free_func (machine_free);
   w->rentals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   w->capacity = 12;
+  w->zones = 2;
   w->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, job_free);
   w->broken = g_ptr_array_new_with_free_func (g_free);
   return w;
@@ -381,7 +382,7 @@
 /* ---- cloud ---- */
 
 static MhValue *
-machine_types (void)
+machine_types (const World *w)
 {
   static const struct
   {
@@ -400,8 +401,11 @@
       mh_value_set_number (m, "hourly", types[i].price);
       mh_value_set_number (m, "spot_price", types[i].spot);
       mh_value_set_number (m, "boot_s", 4);
-      mh_value_push (zones, mh_value_text ("a"));
-      mh_value_push (zones, mh_value_text ("b"));
+      for (guint z = 0; z < w->zones; z++)
+        {
+          const char name[] = { (char)('a' + z), '\0' };
+          mh_value_push (zones, mh_value_text (name));
+        }
       mh_value_set (m, "halls", zones);
       mh_value_push (list, m);
     }
@@ -550,7 +554,7 @@
   if (w->now_us < w->cloud_outage_until_us)
     *status = 503;
   else if (strcmp (path, "/machine_types") == 0)
-    *reply = machine_types ();
+    *reply = machine_types (w);
   else if (strcmp (path, "/machines") == 0)
     *status = rent (w, body, reply);
   else if (strcmp (path, "/machines/release") == 0)
--- a/tests/world.h
+++ b/tests/world.h
@@ -62,6 +62,7 @@
   GPtrArray *machines; /* WorldMachine */
   GHashTable *rentals; /* name -> comma-separated machines */
   guint capacity;      /* machines at once */
+  guint zones;         /* a, b, ... */
   gint64 cloud_outage_until_us;
   guint64 n_rented;
   /* users */
