--- a/src/front.c
+++ b/src/front.c
@@ -147,6 +147,13 @@
   MhFrontGroup *group = (MhFrontGroup *)source;
   (void)func;
   (void)data;
+  /* The events are taken even though the context looks for itself: where they are not, the set may
+     go on being ready. */
+  struct epoll_event events[GROUP_SIZE];
+  gint64 due_us = g_source_get_ready_time (source);
+  if (epoll_wait (group->epoll, events, GROUP_SIZE, 0) <= 0
+      && (due_us < 0 || due_us > g_get_monotonic_time ()))
+    return G_SOURCE_CONTINUE;
   g_source_set_ready_time (source, -1);
   enter (group);
   for (guint i = 0; i < TURNS && g_main_context_iteration (group->context, FALSE); i++)
