--- a/src/front.c
+++ b/src/front.c
@@ -7,11 +7,16 @@
 #include <unistd.h>
 
 /* Connections that share a context: a turn costs about as much for each as handling costs once. */
-#define GROUP_SIZE 24u
+#define GROUP_SIZE 12u
 /* Turns in a row, before others have theirs. */
 #define TURNS 8u
 #define UNWATCHED_MS 500
 
+/* The main loop's own turns are spaced so that looking at its sources takes at most this part of
+   the processor's share; what becomes ready meanwhile is handled together. */
+#define LOOP_PART 0.15
+#define SOURCE_NS 400
+
 struct MhFrontGroup
 {
   GSource source; /* of the main context; ready when any of the fds is */
@@ -99,32 +104,55 @@
   g_array_append_vals (group->watched, fds, n);
 }
 
-/* Asks the context what it waits for next. */
+typedef struct
+{
+  GPollFD some[8 * GROUP_SIZE];
+  GPollFD *fds, *more;
+  gint n, room, timeout_ms, priority;
+} Query;
+
+/* Asks the context what it waits for. */
+static void
+query (GMainContext *context, Query *q)
+{
+  g_main_context_prepare (context, &q->priority);
+  while ((q->n = g_main_context_query (context, q->priority, &q->timeout_ms, q->fds, q->room))
+         > q->room)
+    {
+      q->room = q->n;
+      q->fds = q->more = g_renew (GPollFD, q->more, (gsize)q->room);
+    }
+}
+
+/* Turns the context until nothing is ready, and keeps in mind what it waits for then. */
 static void
-settle (MhFrontGroup *group)
+turn (MhFrontGroup *group)
 {
-  GPollFD some[4 * GROUP_SIZE];
-  g_autofree GPollFD *more = NULL;
-  GPollFD *fds = some;
-  gint priority, timeout_ms, n, room = G_N_ELEMENTS (some);
+  Query q = { .room = G_N_ELEMENTS (q.some) };
+  q.fds = q.some;
   if (!g_main_context_acquire (group->context))
     return;
-  bool ready = g_main_context_prepare (group->context, &priority);
-  while ((n = g_main_context_query (group->context, priority, &timeout_ms, fds, room)) > room)
+  bool ready = true;
+  for (guint i = 0; i < TURNS && ready; i++)
     {
-      room = n;
-      more = g_renew (GPollFD, more, (gsize)room);
-      fds = more;
+      query (group->context, &q);
+      g_poll (q.fds, (guint)q.n, 0);
+      ready = g_main_context_check (group->context, q.priority, q.fds, q.n);
+      if (ready)
+        g_main_context_dispatch (group->context);
     }
+  if (ready)
+    query (group->context, &q);
   g_main_context_release (group->context);
   group->unwatched = false;
-  watch (group, fds, (guint)n);
+  watch (group, q.fds, (guint)q.n);
   if (group->unwatched)
-    timeout_ms = timeout_ms < 0 ? UNWATCHED_MS : MIN (timeout_ms, UNWATCHED_MS);
-  g_source_set_ready_time (&group->source, ready || timeout_ms == 0 ? 0
-                                           : timeout_ms < 0
-                                               ? -1
-                                               : g_get_monotonic_time () + timeout_ms * 1000);
+    q.timeout_ms = q.timeout_ms < 0 ? UNWATCHED_MS : MIN (q.timeout_ms, UNWATCHED_MS);
+  gint64 due_us = ready || q.timeout_ms == 0 ? 0
+                  : q.timeout_ms < 0         ? -1
+                                             : g_get_monotonic_time () + q.timeout_ms * 1000;
+  g_source_set_ready_time (&group->source, due_us);
+  g_free (q.more);
 }
 
 static void
@@ -156,10 +184,8 @@
     return G_SOURCE_CONTINUE;
   g_source_set_ready_time (source, -1);
   enter (group);
-  for (guint i = 0; i < TURNS && g_main_context_iteration (group->context, FALSE); i++)
-    ;
+  turn (group);
   leave (group);
-  settle (group);
   return G_SOURCE_CONTINUE;
 }
 
@@ -175,7 +201,7 @@
   group->watched = g_array_new (FALSE, FALSE, sizeof (GPollFD));
   g_source_add_unix_fd (&group->source, group->epoll, G_IO_IN);
   g_source_attach (&group->source, NULL);
-  settle (group);
+  turn (group);
   return group;
 }
 
@@ -201,6 +227,36 @@
   return TRUE;
 }
 
+static struct
+{
+  double us_per_source;
+  gint64 last_us;
+} pace;
+
+static gint
+paced_poll (GPollFD *fds, guint n, gint timeout_ms)
+{
+  gint64 wait_us = pace.last_us + (gint64)(pace.us_per_source * n) - g_get_monotonic_time ();
+  if (wait_us > 0 && timeout_ms != 0)
+    {
+      if (timeout_ms > 0)
+        wait_us = MIN (wait_us, timeout_ms * 1000);
+      g_usleep ((gulong)wait_us);
+      if (timeout_ms > 0)
+        timeout_ms -= (gint)(wait_us / 1000);
+    }
+  gint ready = g_poll (fds, n, timeout_ms);
+  pace.last_us = g_get_monotonic_time ();
+  return ready;
+}
+
+void
+mh_front_pace (double core_share)
+{
+  pace.us_per_source = SOURCE_NS / 1000.0 / (LOOP_PART * core_share);
+  g_main_context_set_poll_func (NULL, paced_poll);
+}
+
 MhFront *
 mh_front_new (SoupServer *server, GSocketAddress *address, guint connections, GError **error)
 {
