--- a/src/store.c
+++ b/src/store.c
@@ -6,6 +6,8 @@
 
 #define CALL_TIMEOUT_US (MH_SECOND_US)
 #define TXNS_IN_FLIGHT 3u
+/* ... with what users wait for, who shall not wait for the others when the service is slow. */
+#define TXNS_FOR_USERS 6u
 /* Below the 64 KiB that one transaction may have, counted in JSON. */
 #define TXN_BYTES (56u * 1024u)
 #define PAGE 400u
@@ -160,7 +162,8 @@
   if (r->chunk == 0)
     {
       if (!job->accepted)
-        mh_info (core, "job %s: accepted: %s of %u tasks for %s (%s)", job->spec->id,
+        mh_info (core, "job %s: accepted after %d ms: %s of %u tasks for %s (%s)", job->spec->id,
+                 (int)((core->now.mono_us - job->submitted_us) / 1000),
                  job->spec->shape == MH_SHAPE_SERVICE ? "service" : "array", job->spec->tasks,
                  job->spec->team, job->spec->class_name);
       core->place_wanted |= !job->accepted;
@@ -486,20 +489,22 @@
 {
   if (core->leader.bumping)
     return;
-  while (core->txns < TXNS_IN_FLIGHT && anything_dirty (core))
+  while (anything_dirty (core))
     {
-      guint before = core->txns;
-      bool urgent = core->dirty[MH_URGENCY_USER].length > 0;
+      guint before = core->txns, urgent = core->dirty[MH_URGENCY_USER].length;
+      if (core->txns >= (urgent ? TXNS_FOR_USERS : TXNS_IN_FLIGHT))
+        return;
       /* A part of the burst is kept for what a user waits for. */
-      double kept = urgent ? 0 : core->write_bucket.burst * KEPT_FOR_USERS;
-      double least = MIN (core->write_bucket.burst - kept, urgent ? 1 : 2 + DROPS_WITH_FINAL / 2);
+      double kept = core->write_bucket.burst * KEPT_FOR_USERS;
+      double least = urgent ? 1 : MIN (core->write_bucket.burst, kept + 2 + DROPS_WITH_FINAL / 2);
       if (core->now.mono_us < core->state_pause_us
-          || !mh_bucket_has (&core->write_bucket, kept + least, core->now.mono_us))
+          || !mh_bucket_has (&core->write_bucket, least, core->now.mono_us))
         {
           mh_core_wake_at (core, MAX (core->now.mono_us + 10000, core->state_pause_us));
           return;
         }
-      send_batch (core, (guint)CLAMP (core->write_bucket.tokens - kept, 1, core->settings->batch));
+      double tokens = core->write_bucket.tokens, most = MAX (MIN (tokens, urgent), tokens - kept);
+      send_batch (core, (guint)CLAMP (most, 1, core->settings->batch));
       if (core->txns == before)
         break;
       /* Its tokens are taken when it is sent, which is now unless the requests have run out. */
