--- a/src/front.c
+++ b/src/front.c
@@ -12,11 +12,6 @@
 #define TURNS 8u
 #define UNWATCHED_MS 500
 
-/* The main loop's own turns are spaced so that looking at its sources takes at most this part of
-   the processor's share; what becomes ready meanwhile is handled together. */
-#define LOOP_PART 0.15
-#define SOURCE_NS 400
-
 struct MhFrontGroup
 {
   GSource source; /* of the main context; ready when any of the fds is */
@@ -227,36 +222,6 @@
   return TRUE;
 }
 
-static struct
-{
-  double us_per_source;
-  gint64 last_us;
-} pace;
-
-static gint
-paced_poll (GPollFD *fds, guint n, gint timeout_ms)
-{
-  gint64 wait_us = pace.last_us + (gint64)(pace.us_per_source * n) - g_get_monotonic_time ();
-  if (wait_us > 0 && timeout_ms != 0)
-    {
-      if (timeout_ms > 0)
-        wait_us = MIN (wait_us, timeout_ms * 1000);
-      g_usleep ((gulong)wait_us);
-      if (timeout_ms > 0)
-        timeout_ms -= (gint)(wait_us / 1000);
-    }
-  gint ready = g_poll (fds, n, timeout_ms);
-  pace.last_us = g_get_monotonic_time ();
-  return ready;
-}
-
-void
-mh_front_pace (double core_share)
-{
-  pace.us_per_source = SOURCE_NS / 1000.0 / (LOOP_PART * core_share);
-  g_main_context_set_poll_func (NULL, paced_poll);
-}
-
 MhFront *
 mh_front_new (SoupServer *server, GSocketAddress *address, guint connections, GError **error)
 {
--- a/src/front.h
+++ b/src/front.h
@@ -19,6 +19,3 @@
 /* Something was done to a message of the group from outside of its own turn. */
 void
 mh_front_wake (MhFrontGroup *group);
-/* Spaces the main loop's turns by the processor's share. */
-void
-mh_front_pace (double core_share);
--- a/src/shell.c
+++ b/src/shell.c
@@ -827,7 +827,6 @@
   g_source_set_callback (shell.timer, timer_fired, &shell, NULL);
   g_source_set_ready_time (shell.timer, 0);
   g_source_attach (shell.timer, NULL);
-  mh_front_pace (settings->core_share);
   g_autoptr (GMainLoop) loop = g_main_loop_new (NULL, FALSE);
   g_info ("%s: users and workers on %s, controllers on %s", settings->node, settings->front,
           settings->peer_bind);
