--- a/src/core-private.h
+++ b/src/core-private.h
@@ -444,8 +444,9 @@
     gint64 renew_us;
     bool renewing, busy;
     gint64 retry_us;
-    gint64 since_us;  /* leading since */
-    gint64 usable_us; /* when a usable leader was last known */
+    gint64 since_us;               /* leading since */
+    gint64 usable_us;              /* when a usable leader was last known */
+    gint64 unreached_us, tried_us; /* users' requests have not reached it since; the last one */
     bool bumping, bump_sent;
     const char *lost; /* why, until the next step */
     gint64 bumped_us;
--- a/src/core.c
+++ b/src/core.c
@@ -6,6 +6,10 @@
 #define FINALS_KEPT 2000u
 /* A node that has had no usable leader for so long is rather cut off by itself. */
 #define READY_US (30 * MH_SECOND_US)
+/* One that cannot reach a leader which the state service says is there sends its users elsewhere
+   after the first, and tries again after the second. */
+#define UNREACHED_US (MH_SECOND_US * 3 / 2)
+#define TRY_AGAIN_US (4 * MH_SECOND_US)
 
 void
 mh_action_free (MhAction *a)
@@ -368,10 +372,16 @@
   if (answer)
     {
       core->leader.usable_us = now->mono_us;
+      core->leader.unreached_us = 0;
       mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *answer;
     }
   else
-    mh_core_answer (core, id, 503, 1);
+    {
+      core->leader.tried_us = now->mono_us;
+      if (core->leader.unreached_us == 0)
+        core->leader.unreached_us = now->mono_us;
+      mh_core_answer (core, id, 503, 1);
+    }
   mh_core_step (core);
 }
 
@@ -407,7 +417,12 @@
 {
   /* Neither an ordinary change of leader nor an outage of the state service must make the load
      balancer drop the node: every other would be dropped with it, and be taken back late. */
-  return core->leader.usable_us > 0 && core->now.mono_us - core->leader.usable_us < READY_US;
+  gint64 now = core->now.mono_us;
+  bool unreached = core->leader.phase == MH_PHASE_FOLLOW && core->leader.node
+                   && core->leader.unreached_us > 0
+                   && now - core->leader.unreached_us > UNREACHED_US
+                   && now - core->leader.tried_us < TRY_AGAIN_US;
+  return core->leader.usable_us > 0 && now - core->leader.usable_us < READY_US && !unreached;
 }
 
 bool
--- a/src/leader.c
+++ b/src/leader.c
@@ -61,7 +61,10 @@
       return;
     }
   if (g_strcmp0 (node, core->leader.node) != 0)
-    mh_info (core, "leader: %s, epoch %" G_GUINT64_FORMAT, node, epoch);
+    {
+      mh_info (core, "leader: %s, epoch %" G_GUINT64_FORMAT, node, epoch);
+      core->leader.unreached_us = 0;
+    }
   g_free (core->leader.node);
   core->leader.node = node;
   core->leader.epoch = epoch;
@@ -452,6 +455,7 @@
     {
       g_free (core->leader.node);
       core->leader.node = g_strdup (node);
+      core->leader.unreached_us = 0;
       mh_info (core, "leader: %s, epoch %" G_GUINT64_FORMAT ", by its own word", node, epoch);
     }
   core->leader.epoch = epoch;
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -745,6 +745,36 @@
   finish (sim);
 }
 
+/* A controller that cannot reach the leader, which lives, sends its users elsewhere for a while,
+   and tries again. One whose leader has just died does not: all would at once. */
+static void
+test_unreached_leader (void)
+{
+  Sim *sim = sim_new (39);
+  MhUserAnswer a;
+  WAIT (sim, 10, has_leader, NULL);
+  sim_run (sim, 2);
+  SimNode *other = &sim->nodes[(sim_leader (sim)->index + 1) % SIM_NODES];
+  g_assert_true (mh_core_ready (other->core));
+  other->peers_cut_us = sim->now_us + 20 * MH_SECOND_US;
+  for (guint i = 0; i < 2; i++)
+    sim_ask (sim, other->index, MH_USER_STATUS, "j-000001", NULL, &a);
+  g_assert_cmpuint (a.status, ==, 503);
+  sim_run (sim, 0.5);
+  g_assert_false (mh_core_ready (other->core));
+  sim_run (sim, 5);
+  g_assert_true (mh_core_ready (other->core));
+  sim_run (sim, 20);
+  g_assert_cmpuint (sim_ask (sim, other->index, MH_USER_STATUS, "j-000001", NULL, &a), ==, 404);
+  sim_stop_node (sim, sim_leader (sim)->index);
+  for (guint i = 0; i < 20; i++)
+    {
+      sim_run (sim, 0.2);
+      g_assert_true (mh_core_ready (other->core));
+    }
+  finish (sim);
+}
+
 /* A controller ends while its election is being written, and is back at once. What its earlier life
    wrote arrives late, with the same node and the same epoch, but attached to a lease that nobody
    renews: the new life must not take that for its own. */
@@ -984,6 +1014,7 @@
   ADD ("unheeding-machine", test_unheeding_machine);
   ADD ("late-copy-of-returned-machine", test_late_copy_of_returned_machine);
   ADD ("isolated-leader", test_isolated_leader);
+  ADD ("unreached-leader", test_unreached_leader);
   ADD ("back-in-mid-election", test_back_in_mid_election);
   ADD ("questions-beside-writes", test_questions_beside_writes);
   ADD ("large-job-begins", test_large_job_begins);
