--- a/src/front.c
+++ b/src/front.c
@@ -6,28 +6,34 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
-/* Connections that share a context: a turn costs about as much for each as handling costs once. */
-#define GROUP_SIZE 12u
-/* Turns in a row, before others have theirs. */
+/* Connections that share a context. */
+#define GROUP_SIZE 4u
+/* Turns of a context in a row, before others have theirs. */
 #define TURNS 8u
-#define UNWATCHED_MS 500
+#define EVENTS 64u
+#define UNWATCHED_US (G_USEC_PER_SEC / 2)
 
 struct MhFrontGroup
 {
-  GSource source; /* of the main context; ready when any of the fds is */
   MhFront *front;
   GMainContext *context;
-  int epoll;
   GArray *watched; /* GPollFD, as epoll has them */
+  gint64 due_us;   /* to be turned then; -1: only when something is ready */
+  bool marked;     /* is among the ready ones */
   bool unwatched;  /* epoll refused one of them */
   bool stale;      /* a connection was added: a closed one's fd may have come back as another */
 };
 
+/* One source of the main context for all groups. */
 struct MhFront
 {
+  GSource source;
   SoupServer *server;
   GSocketService *service;
+  int epoll;
   GPtrArray *groups;
+  GPtrArray *ready;   /* MhFrontGroup */
+  GHashTable *owners; /* fd -> MhFrontGroup */
   guint next;
   MhFrontGroup *current;
 };
@@ -38,10 +44,29 @@
   return front->current;
 }
 
+static void
+due_at (MhFrontGroup *group, gint64 due_us)
+{
+  GSource *source = &group->front->source;
+  gint64 next_us = g_source_get_ready_time (source);
+  group->due_us = due_us;
+  if (due_us >= 0 && (next_us < 0 || due_us < next_us))
+    g_source_set_ready_time (source, due_us);
+}
+
+static void
+mark (MhFrontGroup *group)
+{
+  if (!group->marked)
+    g_ptr_array_add (group->front->ready, group);
+  group->marked = true;
+}
+
 void
 mh_front_wake (MhFrontGroup *group)
 {
-  g_source_set_ready_time (&group->source, 0);
+  mark (group);
+  due_at (group, 0);
 }
 
 static guint32
@@ -51,13 +76,25 @@
          | (events & G_IO_PRI ? EPOLLPRI : 0u);
 }
 
+/* A closed fd has left by itself, and its number may be another group's by now. */
+static void
+forget (MhFrontGroup *group, const GPollFD *fd)
+{
+  gpointer key = GINT_TO_POINTER (fd->fd);
+  if (g_hash_table_lookup (group->front->owners, key) != group)
+    return;
+  g_hash_table_remove (group->front->owners, key);
+  epoll_ctl (group->front->epoll, EPOLL_CTL_DEL, fd->fd, NULL);
+}
+
+/* What cannot be watched is looked at now and then. */
 static void
 control (MhFrontGroup *group, int operation, const GPollFD *fd)
 {
-  struct epoll_event event = { .events = epoll_events (fd->events), .data.fd = fd->fd };
-  /* A closed fd has left by itself, and its number may be something else by now. One that cannot be
-     watched is looked at now and then. */
-  if (epoll_ctl (group->epoll, operation, fd->fd, &event) < 0 && operation != EPOLL_CTL_DEL)
+  struct epoll_event event = { .events = epoll_events (fd->events), .data.ptr = group };
+  if (epoll_ctl (group->front->epoll, operation, fd->fd, &event) == 0)
+    g_hash_table_insert (group->front->owners, GINT_TO_POINTER (fd->fd), group);
+  else
     {
       g_debug ("watching a connection: %s", g_strerror (errno));
       group->unwatched = true;
@@ -69,6 +106,7 @@
 watch (MhFrontGroup *group, const GPollFD *fds, guint n)
 {
   guint i = 0, j = 0;
+  group->unwatched = false;
   while (i < group->watched->len || j < n)
     {
       const GPollFD *old
@@ -76,7 +114,7 @@
       const GPollFD *now = j < n ? &fds[j] : NULL;
       if (now == NULL || (old && old->fd < now->fd))
         {
-          control (group, EPOLL_CTL_DEL, old);
+          forget (group, old);
           i++;
         }
       else if (old == NULL || now->fd < old->fd)
@@ -87,9 +125,12 @@
       else
         {
           if (group->stale)
-            control (group, EPOLL_CTL_DEL, old);
-          if (group->stale || old->events != now->events)
-            control (group, group->stale ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, now);
+            {
+              forget (group, old);
+              control (group, EPOLL_CTL_ADD, now);
+            }
+          else if (old->events != now->events)
+            control (group, EPOLL_CTL_MOD, now);
           i++;
           j++;
         }
@@ -101,7 +142,7 @@
 
 typedef struct
 {
-  GPollFD some[8 * GROUP_SIZE];
+  GPollFD some[4 * GROUP_SIZE];
   GPollFD *fds, *more;
   gint n, room, timeout_ms, priority;
 } Query;
@@ -119,6 +160,20 @@
     }
 }
 
+static void
+enter (MhFrontGroup *group)
+{
+  group->front->current = group;
+  g_main_context_push_thread_default (group->context);
+}
+
+static void
+leave (MhFrontGroup *group)
+{
+  g_main_context_pop_thread_default (group->context);
+  group->front->current = NULL;
+}
+
 /* Turns the context until nothing is ready, and keeps in mind what it waits for then. */
 static void
 turn (MhFrontGroup *group)
@@ -127,6 +182,7 @@
   q.fds = q.some;
   if (!g_main_context_acquire (group->context))
     return;
+  enter (group);
   bool ready = true;
   for (guint i = 0; i < TURNS && ready; i++)
     {
@@ -138,65 +194,73 @@
     }
   if (ready)
     query (group->context, &q);
+  leave (group);
   g_main_context_release (group->context);
-  group->unwatched = false;
   watch (group, q.fds, (guint)q.n);
-  if (group->unwatched)
-    q.timeout_ms = q.timeout_ms < 0 ? UNWATCHED_MS : MIN (q.timeout_ms, UNWATCHED_MS);
-  gint64 due_us = ready || q.timeout_ms == 0 ? 0
-                  : q.timeout_ms < 0         ? -1
-                                             : g_get_monotonic_time () + q.timeout_ms * 1000;
-  g_source_set_ready_time (&group->source, due_us);
+  if (ready || q.timeout_ms == 0)
+    mh_front_wake (group);
+  else if (q.timeout_ms > 0 || group->unwatched)
+    due_at (group, g_get_monotonic_time ()
+                       + (group->unwatched ? UNWATCHED_US : (gint64)q.timeout_ms * 1000));
   g_free (q.more);
 }
 
+/* Marks the groups whose time has come. */
 static void
-enter (MhFrontGroup *group)
-{
-  group->front->current = group;
-  g_main_context_push_thread_default (group->context);
-}
-
-static void
-leave (MhFrontGroup *group)
+look_at_clock (MhFront *front)
 {
-  g_main_context_pop_thread_default (group->context);
-  group->front->current = NULL;
+  gint64 now_us = g_get_monotonic_time (), next_us = -1;
+  for (guint i = 0; i < front->groups->len; i++)
+    {
+      MhFrontGroup *group = g_ptr_array_index (front->groups, i);
+      if (group->due_us < 0)
+        continue;
+      if (group->due_us <= now_us)
+        mark (group);
+      else if (next_us < 0 || group->due_us < next_us)
+        next_us = group->due_us;
+    }
+  g_source_set_ready_time (&front->source, next_us);
 }
 
 static gboolean
 dispatch (GSource *source, GSourceFunc func, gpointer data)
 {
-  MhFrontGroup *group = (MhFrontGroup *)source;
+  MhFront *front = (MhFront *)source;
+  struct epoll_event events[EVENTS];
+  gint64 due_us = g_source_get_ready_time (source);
   (void)func;
   (void)data;
-  /* The events are taken even though the context looks for itself: where they are not, the set may
-     go on being ready. */
-  struct epoll_event events[GROUP_SIZE];
-  gint64 due_us = g_source_get_ready_time (source);
-  if (epoll_wait (group->epoll, events, GROUP_SIZE, 0) <= 0
-      && (due_us < 0 || due_us > g_get_monotonic_time ()))
-    return G_SOURCE_CONTINUE;
-  g_source_set_ready_time (source, -1);
-  enter (group);
-  turn (group);
-  leave (group);
+  int n = epoll_wait (front->epoll, events, EVENTS, 0);
+  for (int i = 0; i < n; i++)
+    mark (events[i].data.ptr);
+  if (due_us == 0)
+    g_source_set_ready_time (source, -1); /* all that was woken is marked */
+  if (due_us >= 0)
+    look_at_clock (front);
+  /* Those that are woken meanwhile have their turn next time. */
+  g_autoptr (GPtrArray) ready = g_steal_pointer (&front->ready);
+  front->ready = g_ptr_array_new ();
+  for (guint i = 0; i < ready->len; i++)
+    {
+      MhFrontGroup *group = g_ptr_array_index (ready, i);
+      group->marked = false;
+      group->due_us = -1;
+      turn (group);
+    }
   return G_SOURCE_CONTINUE;
 }
 
-static GSourceFuncs group_funcs = { .dispatch = dispatch };
+static GSourceFuncs front_funcs = { .dispatch = dispatch };
 
 static MhFrontGroup *
 group_new (MhFront *front)
 {
-  MhFrontGroup *group = (MhFrontGroup *)g_source_new (&group_funcs, sizeof (MhFrontGroup));
+  MhFrontGroup *group = g_new0 (MhFrontGroup, 1);
   group->front = front;
   group->context = g_main_context_new ();
-  group->epoll = epoll_create1 (EPOLL_CLOEXEC);
   group->watched = g_array_new (FALSE, FALSE, sizeof (GPollFD));
-  g_source_add_unix_fd (&group->source, group->epoll, G_IO_IN);
-  g_source_attach (&group->source, NULL);
-  turn (group);
+  group->due_us = -1;
   return group;
 }
 
@@ -225,20 +289,22 @@
 MhFront *
 mh_front_new (SoupServer *server, GSocketAddress *address, guint connections, GError **error)
 {
-  GSocketService *service = g_socket_service_new ();
+  g_autoptr (GSocketService) service = g_socket_service_new ();
   g_socket_listener_set_backlog (G_SOCKET_LISTENER (service), (int)connections);
   if (!g_socket_listener_add_address (G_SOCKET_LISTENER (service), address, G_SOCKET_TYPE_STREAM,
                                       G_SOCKET_PROTOCOL_TCP, NULL, NULL, error))
-    {
-      g_object_unref (service);
-      return NULL;
-    }
-  MhFront *front = g_new0 (MhFront, 1);
+    return NULL;
+  MhFront *front = (MhFront *)g_source_new (&front_funcs, sizeof (MhFront));
   front->server = server;
-  front->service = service;
+  front->service = g_steal_pointer (&service);
+  front->epoll = epoll_create1 (EPOLL_CLOEXEC);
   front->groups = g_ptr_array_new ();
+  front->ready = g_ptr_array_new ();
+  front->owners = g_hash_table_new (NULL, NULL);
   for (guint i = 0; i < MAX (1, connections / GROUP_SIZE); i++)
     g_ptr_array_add (front->groups, group_new (front));
-  g_signal_connect (service, "incoming", G_CALLBACK (incoming), front);
+  g_signal_connect (front->service, "incoming", G_CALLBACK (incoming), front);
+  g_source_add_unix_fd (&front->source, front->epoll, G_IO_IN);
+  g_source_attach (&front->source, NULL);
   return front;
 }
