--- a/src/shell.c
+++ b/src/shell.c
@@ -14,7 +14,7 @@
 /* Of all sockets, the part that calls to workers may take: machines that are cut off hold theirs
    until the call is given up, and must hold up neither the lease nor those who connect to us. */
 #define WORKER_CONNECTIONS 12
-#define WORKER_IDLE_S 3
+#define WORKER_IDLE_S 1
 
 typedef struct Shell Shell;
 typedef struct Peer Peer;
@@ -540,6 +540,11 @@
       g_autoptr (GBytes) bytes = mh_value_save (r->body);
       soup_message_set_request_body_from_bytes (call->message, CBOR, bytes);
     }
+  /* The next command to the same worker is seconds away, and until then the main loop would look at
+     an idle connection each turn. */
+  if (r->target == MH_TARGET_WORKER)
+    soup_message_headers_append (soup_message_get_request_headers (call->message), "Connection",
+                                 "close");
   call->cancel = g_cancellable_new ();
   call->timeout = g_timeout_add ((guint)(a->timeout_us / 1000), call_timeout, call);
   soup_session_send_and_read_async (
