--- a/src/core-private.h
+++ b/src/core-private.h
@@ -265,6 +265,9 @@
 mh_fleet_add (MhCore *core, const char *name, const char *type, const char *zone, bool spot);
 void
 mh_fleet_types_changed (MhCore *core);
+/* It has been asked more than once, and has not answered. */
+bool
+mh_fleet_unreachable (const MhMachine *machine);
 bool
 mh_fleet_silent (const MhCore *core, const MhMachine *machine, gint64 for_us);
 /* Images by interned names. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -225,6 +225,12 @@
     }
 }
 
+bool
+mh_fleet_unreachable (const MhMachine *m)
+{
+  return m->deaf >= DEAF_PROBES;
+}
+
 bool
 mh_fleet_silent (const MhCore *core, const MhMachine *m, gint64 for_us)
 {
@@ -1079,7 +1085,7 @@
 others_heard (const MhCore *core, const MhMachine *m)
 {
   const MhZone *z = find_zone (core, m->zone);
-  return z->machines < LEAST_OF_ZONE || z->heard_us > m->asked_us;
+  return z == NULL || z->machines < LEAST_OF_ZONE || z->heard_us > m->asked_us;
 }
 
 static void
@@ -1097,10 +1103,10 @@
             mh_scale_release (core, m, "silent with all of its zone");
           return;
         }
-      if (m->deaf >= DEAF_PROBES && m->ignored >= IGNORED_ANSWERS && !patience->cut_off)
+      if (mh_fleet_unreachable (m) && m->ignored >= IGNORED_ANSWERS && !patience->cut_off)
         mh_scale_release (core, m, "nothing reaches it");
       else if (silent > patience->known_us
-               || (m->deaf >= DEAF_PROBES && !patience->cut_off && others_heard (core, m)
+               || (mh_fleet_unreachable (m) && !patience->cut_off && others_heard (core, m)
                    && now - m->hello_us > patience->report_us))
         mh_scale_release (core, m, m->deaf ? "silent, and gives no answer" : "silent");
       else if (m->ignored || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
@@ -1112,7 +1118,10 @@
       /* A new leader does not wait for the workers to find it, where it knows their address. */
       if (now - m->hinted_us > SECOND_REPORT_US)
         ask (core, m);
-      if (now - MAX (core->leader.since_us, m->known_us) > patience->unseen_us)
+      gint64 unseen = now - MAX (core->leader.since_us, m->known_us);
+      if (unseen > patience->unseen_us
+          || (mh_fleet_unreachable (m) && !patience->cut_off && others_heard (core, m)
+              && unseen > patience->report_us))
         mh_scale_release (core, m, "silent since the change of leader");
       return;
     }
--- a/src/leader.c
+++ b/src/leader.c
@@ -435,7 +435,9 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const MhMachine *m = value;
-      if (!m->gone && !m->releasing && !m->reported && (m->running || m->attempts->len))
+      /* One that gives no answer either will not report. */
+      if (!m->gone && !m->releasing && !m->reported && !mh_fleet_unreachable (m)
+          && (m->running || m->attempts->len))
         return false;
     }
   return true;
