--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -888,6 +888,28 @@
     }
 }
 
+/* The largest job there may be is accepted, runs, and is reloaded; a cancellation ends it. */
+static void
+test_largest_job (void)
+{
+  Sim *sim = sim_new (42);
+  MhJobSpec *s = sim_spec (2, MH_SHAPE_ARRAY, MH_MAX_TASKS, 1);
+  s->estimate_us = 600 * MH_SECOND_US;
+  SimUser *u = sim_submit (sim, s, 5);
+  WAIT (sim, 10, accepted, u);
+  sim_run (sim, 15);
+  g_assert_cmpuint (world_running (sim->world, "j-000002"), >, 0);
+  sim_stop_node (sim, sim_leader (sim)->index);
+  WAIT (sim, 10, has_leader, NULL);
+  sim_run (sim, 15);
+  g_assert_cmpuint (u->job->n_done, >, 0);
+  sim_withdraw (u);
+  WAIT (sim, 10, told_cancelled, u);
+  sim_run (sim, 60);
+  g_assert_cmpuint (world_running (sim->world, "j-000002"), ==, 0);
+  finish (sim);
+}
+
 /* Four zones. While one is full it still enters the minimum, and the fourth replica waits for it;
    when it has no live machine any more it does not count, and the replica goes elsewhere. */
 static void
@@ -1076,6 +1098,7 @@
   ADD ("back-in-mid-election", test_back_in_mid_election);
   ADD ("questions-beside-writes", test_questions_beside_writes);
   ADD ("large-job-begins", test_large_job_begins);
+  ADD ("largest-job", test_largest_job);
   ADD ("spread-four-zones", test_spread_four_zones);
   ADD ("images-apart", test_images_apart);
   ADD ("leader-loses-workers", test_leader_loses_workers);
