--- a/src/place.c
+++ b/src/place.c
@@ -766,11 +766,23 @@
 }
 
 /* The counts of a job are rebuilt when every machine on record for it has reported. Since a start
-   is on record before it is ordered, a job without one has no task anywhere. */
+   is on record before it is ordered, a job without one has no task anywhere. When the time for that
+   is over, the zones must be known at least: a machine known from a record alone has none yet, and
+   the task on it would be left out of the count. */
 static bool
 counts_known (const MhCore *core, const MhJob *job)
 {
-  return core->leader.rebuilt || job->n_unheard == 0;
+  const MhJobSpec *s = job->spec;
+  if (job->n_unheard == 0)
+    return true;
+  if (!core->leader.rebuilt)
+    return false;
+  if (s->shape != MH_SHAPE_SERVICE && !s->scatter && !s->one_zone)
+    return true;
+  for (guint i = 0; i < s->tasks; i++)
+    if (job->tasks[i].live && job->tasks[i].live->machine->zone == NULL)
+      return false;
+  return true;
 }
 
 /* Whether an earlier job that might have stopped all that this one may, for no more room, could
