--- a/src/core-private.h
+++ b/src/core-private.h
@@ -247,27 +247,12 @@
   return g_ptr_array_index (machine->attempts, index);
 }
 
-/* What is heard from a zone as a whole. */
-typedef struct
-{
-  GRefString *name;
-  guint machines; /* that have reported */
-  gint64 heard_us, dark_until_us;
-} MhZone;
-
-/* Nothing has come from the zone for so long that its machines will rather be cut off together than
-   have failed one by one. */
-bool
-mh_fleet_dark (const MhCore *core, const GRefString *zone);
 MhMachine *
 mh_fleet_machine (MhCore *core, const char *name);
 MhMachine *
 mh_fleet_add (MhCore *core, const char *name, const char *type, const char *zone, bool spot);
 void
 mh_fleet_types_changed (MhCore *core);
-/* It has been asked more than once, and has not answered. */
-bool
-mh_fleet_unreachable (const MhMachine *machine);
 bool
 mh_fleet_silent (const MhCore *core, const MhMachine *machine, gint64 for_us);
 /* Images by interned names. */
@@ -278,6 +263,16 @@
                      double gb);
 double
 mh_fleet_hourly (const MhMachine *machine); /* its price; the type must be known */
+/* The worker's answer to a question or a command of this leader; false: not newer than what is
+ * known. */
+bool
+mh_fleet_answered (MhCore *core, MhMachine *machine, const MhReport *report);
+/* Directly, what has not been said. `epoch_only`: even if that is nothing but the epoch. */
+void
+mh_fleet_send (MhCore *core, MhMachine *machine, bool epoch_only);
+/* For how long a leader that cannot renew its lease may keep workers' tasks alive. */
+gint64
+mh_fleet_keep_alive_us (const MhCore *core);
 void
 mh_fleet_start (MhCore *core);
 void
@@ -307,6 +302,52 @@
 void
 mh_fleet_free_machine (gpointer machine);
 
+/* ---- silence ---- */
+
+/* Reports in a row that show nothing of the answer before them. */
+#define MH_IGNORED_ANSWERS 2u
+
+/* What is heard from a zone as a whole. */
+typedef struct
+{
+  GRefString *name;
+  guint machines; /* that have reported */
+  gint64 heard_us, dark_until_us;
+} MhZone;
+
+/* How long a machine may be silent before it is given back. */
+typedef struct
+{
+  bool cut_off;      /* this side may be */
+  gint64 report_us;  /* the longest that a worker takes to its next report, and some */
+  gint64 suspect_us; /* one that has reported to this leader is asked directly */
+  gint64 replica_us; /* ... sooner if it holds replicas */
+  gint64 known_us;   /* ... is given back, whatever that brought */
+  gint64 unseen_us;  /* one that has not reported, since the election */
+} MhPatience;
+
+void
+mh_silence_start (MhCore *core);
+void
+mh_silence_clear (MhCore *core);
+void
+mh_silence_heard (MhCore *core, GRefString *zone);
+/* Nothing has come from the zone for so long that its machines will rather be cut off together than
+   have failed one by one. */
+bool
+mh_silence_dark (const MhCore *core, const GRefString *zone);
+/* It has been asked more than once, and has not answered. */
+bool
+mh_silence_unreachable (const MhMachine *machine);
+/* At all machines and zones; then each can be checked. */
+void
+mh_silence_look (MhCore *core);
+void
+mh_silence_check (MhCore *core, MhMachine *machine);
+/* A leader that hears no worker lets another one lead. */
+void
+mh_silence_hand_over (MhCore *core);
+
 /* ---- spread: the arithmetic of KEP-895 and nothing else ---- */
 
 typedef struct
@@ -322,35 +363,42 @@
 gint
 mh_spread_soft_score (const MhZoneCount *zones, guint n_zones, guint zone, guint max_skew);
 
+/* ---- queue ---- */
+
+GPtrArray *
+mh_queue_jobs (MhCore *core); /* jobs with pending tasks, in order; container owned */
+/* The lower, the earlier: urgent work within a guarantee, urgent work, other work within one, the
+   rest. */
+guint
+mh_queue_tier (const MhJob *job);
+/* How long a start of the job may still take, by the aims that hold for it. */
+gint64
+mh_queue_patience_us (const MhCore *core, const MhJob *job);
+/* Owners' estimates are often wrong, and on some days all in one direction: what the tasks of a
+   class took, as a multiple of what was said. */
+double
+mh_queue_bias (MhCore *core, const char *class_name);
+void
+mh_queue_learn (MhCore *core, const MhJobSpec *spec, gint64 ran_us);
+gint64
+mh_queue_run_us (MhCore *core, const MhJobSpec *spec); /* as far as can be told */
+gint64
+mh_queue_fetch_us (const MhCore *core, const MhJobSpec *spec); /* of its image, alone */
+
 /* ---- place, scale, store, leader ---- */
 
 void
 mh_place_step (MhCore *core);
 bool
 mh_place_type_fits (const MhJobSpec *spec, const MhMachineType *type);
-bool
-mh_place_kind_fits (const MhJob *job, const MhMachineType *type, const char *zone, bool spot);
 /* Could the team run `more` of the job's tasks besides what may be running now? */
 bool
 mh_place_quota_fits (MhCore *core, const MhJob *job, double more_cpus, double more_gpus);
 guint
 mh_place_quota_room (MhCore *core, const MhJob *job, const MhUse *also, guint n);
-GPtrArray *
-mh_place_queue (MhCore *core); /* jobs with pending tasks, in order; container owned */
 void
 mh_place_spread_rule (const MhCore *core, const MhJobSpec *spec, guint *max_skew, bool *soft);
 
-/* Owners' estimates are often wrong, and on some days all in one direction: what the tasks of a
-   class took, as a multiple of what was said. */
-double
-mh_place_bias (MhCore *core, const char *class_name);
-void
-mh_place_learn (MhCore *core, const MhJobSpec *spec, gint64 ran_us);
-gint64
-mh_place_run_us (MhCore *core, const MhJobSpec *spec); /* as far as can be told */
-gint64
-mh_place_fetch_us (const MhCore *core, const MhJobSpec *spec); /* of its image, alone */
-
 void
 mh_scale_start (MhCore *core);
 void
@@ -487,7 +535,8 @@
   GHashTable *machines; /* name -> MhMachine */
   GPtrArray *due;       /* MhMachine, not owned */
   GArray *zones;        /* MhZone */
-  guint replicas;       /* of services, on all machines */
+  MhPatience patience;
+  guint replicas; /* of services, on all machines */
   gint64 swept_us;
   MhBucket probe_bucket, direct_bucket;
   GPtrArray *types;        /* MhMachineType; NULL until known */
--- a/src/core.c
+++ b/src/core.c
@@ -476,6 +476,7 @@
   mh_bucket_init (&core->write_bucket, settings->state_write_rps * 0.9,
                   settings->state_write_rps * 0.8, t);
   mh_fleet_start (core);
+  mh_silence_start (core);
   mh_bucket_init (&core->cloud_bucket, settings->cloud_rps * 0.9, settings->cloud_rps * 1.5, t);
   mh_leader_start (core);
   return core;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -4,30 +4,12 @@
 #include <string.h>
 
 #define DIRECT_TIMEOUT_US (2 * MH_SECOND_US)
-/* An unanswered command is fenced by a new epoch after this. */
-#define PROBE_TIMEOUT_US (MH_SECOND_US)
-#define DEAF_PROBES 2u
-/* Machines are asked only as fast as the processor's share allows. */
-#define PROBES_PER_CORE_S 400
 /* Direct commands that nobody waits for, by the processor's share: what they would say goes with
    the answer to the next report, which costs nothing. A large array placed at once on a hundred
    machines once kept the leader from all else for a second. */
 #define DIRECTS_PER_CORE_S 250
 /* Silence, notices and what was not said at once are looked after so often. */
 #define SWEEP_US (MH_SECOND_US / 5)
-/* Reports in a row that show nothing of the answer before them. */
-#define IGNORED_ANSWERS 2u
-/* A zone of so many machines from which nothing has come for so long, for most of a report's
-   interval (all may report at once), or while so many reports should have come, is dark, and stays
-   so for a while when its machines have been given back. */
-#define LEAST_OF_ZONE 3u
-#define DARK_US (2 * MH_SECOND_US)
-#define REPORTS_MISSED 4
-#define STAYS_DARK_US (30 * MH_SECOND_US)
-/* A leader that hears no worker for so long lets another one lead. */
-#define DEAF_LEADER_US (6 * MH_SECOND_US)
-/* A worker that has just learnt of this leader reports again by itself. */
-#define SECOND_REPORT_US (MH_SECOND_US * 7 / 10)
 #define LOOSE_US (6 * MH_SECOND_US)
 #define REMEMBER_GONE_US (90 * MH_SECOND_US)
 /* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
@@ -134,9 +116,7 @@
     }
   g_hash_table_remove_all (core->machines);
   g_ptr_array_set_size (core->due, 0);
-  for (guint i = 0; i < core->zones->len; i++)
-    g_ref_string_release (g_array_index (core->zones, MhZone, i).name);
-  g_array_set_size (core->zones, 0);
+  mh_silence_clear (core);
   core->replicas = 0;
   g_hash_table_remove_all (core->team_use);
 }
@@ -164,73 +144,10 @@
 void
 mh_fleet_start (MhCore *core)
 {
-  double rate = PROBES_PER_CORE_S * core->settings->core_share;
-  mh_bucket_init (&core->probe_bucket, rate, rate, core->now.mono_us);
-  rate = DIRECTS_PER_CORE_S * core->settings->core_share;
+  double rate = DIRECTS_PER_CORE_S * core->settings->core_share;
   mh_bucket_init (&core->direct_bucket, rate, MAX (1, rate / 4), core->now.mono_us);
 }
 
-static MhZone *
-find_zone (const MhCore *core, const GRefString *name)
-{
-  for (guint i = 0; i < core->zones->len; i++)
-    {
-      MhZone *z = &g_array_index (core->zones, MhZone, i);
-      if (z->name == name)
-        return z;
-    }
-  return NULL;
-}
-
-bool
-mh_fleet_dark (const MhCore *core, const GRefString *name)
-{
-  const MhZone *z = find_zone (core, name);
-  return z && core->now.mono_us < z->dark_until_us;
-}
-
-static void
-heard_from (MhCore *core, GRefString *name)
-{
-  MhZone *z = find_zone (core, name);
-  if (z == NULL)
-    {
-      MhZone fresh = { .name = g_ref_string_acquire (name) };
-      g_array_append_val (core->zones, fresh);
-      z = &g_array_index (core->zones, MhZone, core->zones->len - 1);
-    }
-  if (core->now.mono_us < z->dark_until_us)
-    mh_info (core, "zone %s: heard from again", z->name);
-  z->heard_us = core->now.mono_us;
-  z->dark_until_us = 0;
-}
-
-/* Reports come from a zone as often as it has machines. When several should have come and none has,
-   the zone is cut off: its machines go on, and each is not to be taken for failed. */
-static void
-look_at_zones (MhCore *core)
-{
-  gint64 now = core->now.mono_us;
-  for (guint i = 0; i < core->zones->len; i++)
-    {
-      MhZone *z = &g_array_index (core->zones, MhZone, i);
-      gint64 report = core->settings->report_us;
-      gint64 patience = MAX (report * 4 / 5, REPORTS_MISSED * report / MAX (z->machines, 1));
-      if (z->machines < LEAST_OF_ZONE || now - z->heard_us < MAX (DARK_US, patience))
-        continue;
-      if (now >= z->dark_until_us)
-        mh_info (core, "zone %s: %u machines, and nothing comes from any of them", z->name,
-                 z->machines);
-      z->dark_until_us = now + STAYS_DARK_US;
-    }
-}
-
-bool
-mh_fleet_unreachable (const MhMachine *m)
-{
-  return m->deaf >= DEAF_PROBES;
-}
-
 bool
 mh_fleet_silent (const MhCore *core, const MhMachine *m, gint64 for_us)
 {
@@ -561,7 +478,7 @@
     {
     case MH_CAUSE_DONE:
       if (a->running_us && !a->loaded)
-        mh_place_learn (core, job->spec, core->now.mono_us - a->running_us);
+        mh_queue_learn (core, job->spec, core->now.mono_us - a->running_us);
       job->errors = 0;
       m->errors = 0;
       g_clear_pointer (&m->error_job, g_free);
@@ -650,7 +567,7 @@
     }
   if (m->zone == NULL)
     m->zone = g_ref_string_new_intern (r->zone);
-  heard_from (core, m->zone);
+  mh_silence_heard (core, m->zone);
   if (m->type_name == NULL)
     {
       m->type_name = g_strdup (r->type);
@@ -688,6 +605,15 @@
   return !m->reported || r->tenure > m->tenure || (r->tenure == m->tenure && r->tick > m->tick);
 }
 
+bool
+mh_fleet_answered (MhCore *core, MhMachine *m, const MhReport *r)
+{
+  bool is_newer = newer (m, r);
+  if (is_newer)
+    observe (core, m, r, false);
+  return is_newer;
+}
+
 /* ---- orders ---- */
 
 static void
@@ -866,8 +792,8 @@
 
 /* `epoch_only`: no order, but the worker learns of this leader, and so does a former one that it
    still reports to. */
-static void
-send_direct (MhCore *core, MhMachine *m, bool epoch_only)
+void
+mh_fleet_send (MhCore *core, MhMachine *m, bool epoch_only)
 {
   /* One at a time, and none to a machine that may not be there: each unanswered command costs an
      epoch. Its next report will carry them. */
@@ -899,8 +825,8 @@
 /* For how long a leader that cannot renew its lease may keep workers' tasks alive, without ordering
    anything: a task cancelled by a successor must still be gone in time, and the worker's own lease
    ends at the latest lease_s after the last answer. */
-static gint64
-keep_alive_us (const MhCore *core)
+gint64
+mh_fleet_keep_alive_us (const MhCore *core)
 {
   return core->settings->cancel_us - core->settings->worker_lease_us - 4 * MH_SECOND_US;
 }
@@ -909,7 +835,7 @@
 may_keep_alive (const MhCore *core)
 {
   return core->leader.phase == MH_PHASE_LEAD && !core->leader.lost
-         && core->now.mono_us < core->leader.confirmed_us + keep_alive_us (core);
+         && core->now.mono_us < core->leader.confirmed_us + mh_fleet_keep_alive_us (core);
 }
 
 static void
@@ -957,7 +883,7 @@
   m->told = false;
   if (ignores)
     {
-      if (++m->ignored == IGNORED_ANSWERS)
+      if (++m->ignored == MH_IGNORED_ANSWERS)
         mh_info (core, "machine %s: reports, but shows nothing of what it is told", m->name);
     }
   else if (asked)
@@ -1019,166 +945,6 @@
   answer_hello (core, id, 200, mh_wire_write_orders (core->leader.own_epoch, NULL, orders));
 }
 
-/* ---- time ---- */
-
-/* How long a machine may be silent before it is given back. Only its release proves soon that its
-   tasks are gone. */
-typedef struct
-{
-  bool cut_off;      /* this side may be */
-  gint64 report_us;  /* the longest that a worker takes to its next report, and some */
-  gint64 suspect_us; /* one that has reported to this leader is asked directly */
-  gint64 replica_us; /* ... sooner if it holds replicas */
-  gint64 known_us;   /* ... is given back, whatever that brought */
-  gint64 unseen_us;  /* one that has not reported, since the election */
-} Patience;
-
-static void
-probe (MhCore *core, MhMachine *m);
-
-static void
-probe_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
-{
-  MhMachine *m = mh_fleet_machine (core, data);
-  g_autoptr (MhReport) r = status == 200 ? mh_wire_read_report (body) : NULL;
-  if (m == NULL || m->gone)
-    return;
-  m->probing = false;
-  if (r == NULL || strcmp (r->machine, m->name) != 0)
-    {
-      /* Once may be a lost packet. */
-      if (++m->deaf < DEAF_PROBES)
-        probe (core, m);
-    }
-  else if (newer (m, r) && r->epoch <= core->leader.own_epoch)
-    {
-      observe (core, m, r, false);
-      /* It may report to a former leader that is cut off, which learns from its next report that it
-         is one; without this such workers once stayed there for half a minute. */
-      if (r->epoch < core->leader.load_epoch && mh_leader_valid (core))
-        send_direct (core, m, true);
-    }
-}
-
-static void
-probe (MhCore *core, MhMachine *m)
-{
-  m->probing = true;
-  mh_core_call (core, MH_RANK_RULES, mh_wire_show (m->endpoint), 0, PROBE_TIMEOUT_US, probe_reply,
-                g_strdup (m->name), g_free);
-}
-
-static void
-ask (MhCore *core, MhMachine *m)
-{
-  if (m->probing || m->deaf || m->endpoint == NULL
-      || !mh_bucket_has (&core->probe_bucket, 1, core->now.mono_us))
-    return;
-  mh_bucket_take (&core->probe_bucket, 1);
-  m->asked_us = core->now.mono_us;
-  probe (core, m);
-}
-
-/* Whether others of its zone have been heard since it was first asked in vain; else it may be the
-   first of many. */
-static bool
-others_heard (const MhCore *core, const MhMachine *m)
-{
-  const MhZone *z = find_zone (core, m->zone);
-  return z == NULL || z->machines < LEAST_OF_ZONE || z->heard_us > m->asked_us;
-}
-
-static void
-check_silence (MhCore *core, MhMachine *m, const Patience *patience)
-{
-  gint64 now = core->now.mono_us;
-  if (m->reported)
-    {
-      gint64 silent = now - m->heard_us;
-      /* What runs there goes on until the worker's lease is over; nothing is gained by giving it
-         back before. */
-      if (mh_fleet_dark (core, m->zone))
-        {
-          if (silent > core->settings->worker_lease_us + MH_SECOND_US)
-            mh_scale_release (core, m, "silent with all of its zone");
-          return;
-        }
-      if (mh_fleet_unreachable (m) && m->ignored >= IGNORED_ANSWERS && !patience->cut_off)
-        mh_scale_release (core, m, "nothing reaches it");
-      else if (silent > patience->known_us
-               || (mh_fleet_unreachable (m) && !patience->cut_off && others_heard (core, m)
-                   && now - m->hello_us > patience->report_us))
-        mh_scale_release (core, m, m->deaf ? "silent, and gives no answer" : "silent");
-      else if (m->ignored || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
-        ask (core, m);
-      return;
-    }
-  if (m->attempts->len || m->running)
-    {
-      /* A new leader does not wait for the workers to find it, where it knows their address. */
-      if (now - m->hinted_us > SECOND_REPORT_US)
-        ask (core, m);
-      gint64 unseen = now - MAX (core->leader.since_us, m->known_us);
-      if (unseen > patience->unseen_us
-          || (mh_fleet_unreachable (m) && !patience->cut_off && others_heard (core, m)
-              && unseen > patience->report_us))
-        mh_scale_release (core, m, "silent since the change of leader");
-      return;
-    }
-  gint64 boot = m->type ? m->type->boot_us : 60 * MH_SECOND_US;
-  if (now - m->rented_us > 3 * boot + 10 * MH_SECOND_US
-      && now - core->leader.since_us > core->settings->report_us * 2 + 6 * MH_SECOND_US)
-    mh_scale_release (core, m, "never came up");
-}
-
-static Patience
-patience (MhCore *core)
-{
-  guint silent = 0, unseen = 0, all = 0, hosts = 0;
-  gint64 usual = core->settings->silence_us;
-  /* A new leader's workers need time to find it. */
-  gint64 report = core->settings->report_us * 5 / 4 + MH_SECOND_US * 2 / 5;
-  Patience p = { .report_us = report,
-                 .suspect_us = report + MH_SECOND_US / 3,
-                 .known_us = usual,
-                 .unseen_us = usual + 6 * MH_SECOND_US };
-  GHashTableIter it;
-  gpointer value;
-  for (guint i = 0; i < core->zones->len; i++)
-    g_array_index (core->zones, MhZone, i).machines = 0;
-  g_hash_table_iter_init (&it, core->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      MhMachine *m = value;
-      if (m->gone || m->releasing || !(m->reported || m->attempts->len))
-        continue;
-      if (m->reported)
-        find_zone (core, m->zone)->machines++;
-      all++;
-      hosts += m->replicas > 0;
-      if (m->reported)
-        silent += m->deaf || m->ignored || mh_fleet_silent (core, m, usual);
-      else
-        unseen++;
-    }
-  look_at_zones (core);
-  /* When most are silent at once it is rather this side that is cut off; and a former leader that
-     is cut off from the state service alone may hold all workers for a while. Without this, a new
-     leader once gave back a whole fleet of working machines. */
-  if (silent >= 3 && silent * 2 > all)
-    {
-      p.cut_off = true;
-      p.known_us = core->settings->worker_lease_us + 5 * MH_SECOND_US;
-    }
-  if (unseen >= 3 && unseen * 2 > all)
-    p.unseen_us = MAX (p.unseen_us, keep_alive_us (core) + 10 * MH_SECOND_US);
-  gint64 every
-      = (gint64)((double)hosts * MH_SECOND_US / (PROBES_PER_CORE_S * core->settings->core_share));
-  /* Both probes are over when the report is overdue. */
-  p.replica_us = MIN (p.suspect_us, MAX (report - DEAF_PROBES * PROBE_TIMEOUT_US, every));
-  return p;
-}
-
 static void
 drain_by_notice (MhCore *core, MhMachine *m)
 {
@@ -1198,12 +964,12 @@
 }
 
 static void
-look_after (MhCore *core, MhMachine *m, const Patience *limit)
+look_after (MhCore *core, MhMachine *m)
 {
-  check_silence (core, m, limit);
+  mh_silence_check (core, m);
   if (m->notice_until_us >= 0)
     drain_by_notice (core, m);
-  send_direct (core, m, false);
+  mh_fleet_send (core, m, false);
   for (guint i = 0; i < m->loose->len; i++)
     if (core->now.mono_us - g_array_index (m->loose, MhLoose, i).since_us > LOOSE_US && !m->ignored
         && !mh_fleet_silent (core, m, 2 * core->settings->report_us))
@@ -1213,24 +979,6 @@
       }
 }
 
-/* A leader that hears none of several workers, though the state service serves it, is cut off from
-   them. Another controller may not be; and their leases run out. */
-static void
-hand_over_if_deaf (MhCore *core)
-{
-  gint64 heard_us = core->leader.since_us;
-  guint machines = 0;
-  for (guint i = 0; i < core->zones->len; i++)
-    {
-      const MhZone *z = &g_array_index (core->zones, MhZone, i);
-      heard_us = MAX (heard_us, z->heard_us);
-      machines += z->machines;
-    }
-  if (machines >= LEAST_OF_ZONE && core->settings->members->len > 0
-      && core->now.mono_us - heard_us > MAX (DEAF_LEADER_US, core->settings->report_us * 3 / 2))
-    mh_leader_hand_over (core, "no worker is heard any more");
-}
-
 /* What has just changed is answered at once; all machines are looked through now and then only, so
    that the work of a step does not grow with the fleet. */
 void
@@ -1242,7 +990,7 @@
       MhMachine *m = g_ptr_array_index (core->due, i);
       m->due = false;
       if (!m->gone && !m->releasing)
-        send_direct (core, m, false);
+        mh_fleet_send (core, m, false);
     }
   g_ptr_array_set_size (core->due, 0);
   if (now < core->swept_us + SWEEP_US)
@@ -1253,7 +1001,7 @@
   core->swept_us = now;
   GHashTableIter it;
   gpointer value;
-  const Patience limit = patience (core);
+  mh_silence_look (core);
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
@@ -1264,8 +1012,8 @@
             g_hash_table_iter_remove (&it);
         }
       else if (!m->releasing)
-        look_after (core, m, &limit);
+        look_after (core, m);
     }
-  hand_over_if_deaf (core);
+  mh_silence_hand_over (core);
   mh_core_wake_at (core, now + SWEEP_US);
 }
--- a/src/leader.c
+++ b/src/leader.c
@@ -436,7 +436,7 @@
     {
       const MhMachine *m = value;
       /* One that gives no answer either will not report. */
-      if (!m->gone && !m->releasing && !m->reported && !mh_fleet_unreachable (m)
+      if (!m->gone && !m->releasing && !m->reported && !mh_silence_unreachable (m)
           && (m->running || m->attempts->len))
         return false;
     }
--- a/src/place.c
+++ b/src/place.c
@@ -20,14 +20,8 @@
 #define REPLICAS_AT_ONCE (1 / 24.0)
 /* Machines on which an array would miss the aim for its start by its image come last. */
 #define TOO_LATE 1000
-/* Jobs that can meet no aim any more count as due this much later: behind those that can, but not
-   for ever. */
-#define HOPELESS_US (180 * MH_SECOND_US)
 #define RANK_LOSS 3
 #define LATE_STEP_US (10 * MH_SECOND_US)
-/* A job of which nothing has begun for so long goes before all work that is not urgent, with one
-   task: else the largest and the least would wait for ever behind a steady stream of small ones. */
-#define BEGIN_US (150 * MH_SECOND_US)
 
 bool
 mh_place_type_fits (const MhJobSpec *s, const MhMachineType *t)
@@ -40,14 +34,6 @@
          && s->mem_gb <= t->mem_gb + EPSILON;
 }
 
-bool
-mh_place_kind_fits (const MhJob *job, const MhMachineType *t, const char *zone, bool spot)
-{
-  const MhJobSpec *s = job->spec;
-  return mh_place_type_fits (s, t) && (!spot || s->spot)
-         && (s->zone == NULL || strcmp (s->zone, zone) == 0);
-}
-
 bool
 mh_place_quota_fits (MhCore *core, const MhJob *job, double more_cpus, double more_gpus)
 {
@@ -93,201 +79,6 @@
     }
 }
 
-/* ---- the queue ---- */
-
-static gint
-by_submission (gconstpointer a, gconstpointer b)
-{
-  const MhJob *x = *(MhJob *const *)a, *y = *(MhJob *const *)b;
-  if (x->submitted_wall_us != y->submitted_wall_us)
-    return x->submitted_wall_us < y->submitted_wall_us ? -1 : 1;
-  return strcmp (x->spec->id, y->spec->id);
-}
-
-static guint
-tier (const MhJob *job)
-{
-  if (job->spec->priority >= MH_PRIORITY_HIGH)
-    return job->guaranteed ? 0 : 1;
-  return job->guaranteed ? 2 : 3;
-}
-
-static bool
-starved (const MhCore *core, const MhJob *job)
-{
-  return job->n_begun == 0 && core->now.mono_us - job->submitted_us > BEGIN_US;
-}
-
-static gint
-by_order (gconstpointer a, gconstpointer b)
-{
-  const MhJob *x = *(MhJob *const *)a, *y = *(MhJob *const *)b;
-  guint tx = x->starved ? MIN (tier (x), 2) : tier (x);
-  guint ty = y->starved ? MIN (tier (y), 2) : tier (y);
-  if (tx != ty)
-    return tx < ty ? -1 : 1;
-  if (x->starved != y->starved)
-    return x->starved ? -1 : 1;
-  if (x->starved)
-    return by_submission (a, b);
-  if (x->spec->priority != y->spec->priority)
-    return x->spec->priority > y->spec->priority ? -1 : 1;
-  if (x->start_by_us != y->start_by_us)
-    return x->start_by_us < y->start_by_us ? -1 : 1;
-  return by_submission (a, b);
-}
-
-double
-mh_place_bias (MhCore *core, const char *class_name)
-{
-  const MhClassStat *stat = g_hash_table_lookup (core->class_stats, class_name);
-  return stat && stat->n >= 3 ? CLAMP (stat->ratio, 0.25, 4) : 1;
-}
-
-void
-mh_place_learn (MhCore *core, const MhJobSpec *s, gint64 ran_us)
-{
-  if (s->estimate_us < MH_SECOND_US)
-    return;
-  MhClassStat *stat = g_hash_table_lookup (core->class_stats, s->class_name);
-  if (stat == NULL)
-    {
-      stat = g_new0 (MhClassStat, 1);
-      g_hash_table_insert (core->class_stats, g_strdup (s->class_name), stat);
-    }
-  stat->n++;
-  double weight = MAX (1.0 / stat->n, 0.02);
-  stat->ratio += weight * ((double)ran_us / (double)s->estimate_us - stat->ratio);
-}
-
-gint64
-mh_place_run_us (MhCore *core, const MhJobSpec *s)
-{
-  return (gint64)((double)s->estimate_us * mh_place_bias (core, s->class_name));
-}
-
-gint64
-mh_place_fetch_us (const MhCore *core, const MhJobSpec *s)
-{
-  for (guint i = 0; core->types && i < core->types->len; i++)
-    {
-      const MhMachineType *t = g_ptr_array_index (core->types, i);
-      if (mh_place_type_fits (s, t) && t->fetch_gb_per_s > 0)
-        return (gint64)(s->image_gb / t->fetch_gb_per_s * MH_SECOND_US);
-    }
-  return 0;
-}
-
-/* When the job's tasks should start at the latest, by its deadline or its class's aims, of which
-   those count that can still be met. A job that can meet none goes behind those that can. */
-static gint64
-start_by (MhCore *core, MhJob *job)
-{
-  const MhJobSpec *s = job->spec;
-  gint64 now = core->now.mono_us, at = G_MAXINT64, last = 0;
-  gint64 needs = mh_place_fetch_us (core, s) + mh_place_run_us (core, s);
-  if (s->deadline_us >= 0)
-    at = last = job->submitted_us + s->deadline_us;
-  else
-    for (guint i = 0; i < core->settings->objectives->len; i++)
-      {
-        const MhObjective *o = g_ptr_array_index (core->settings->objectives, i);
-        if (o->kind != MH_OBJECTIVE_FINISHED || g_strcmp0 (o->class_name, s->class_name) != 0)
-          continue;
-        gint64 by = job->submitted_us + o->within_us;
-        last = MAX (last, by);
-        if (by - needs >= now)
-          at = MIN (at, by);
-      }
-  if (last == 0)
-    at = job->submitted_us + 600 * MH_SECOND_US;
-  job->hopeless = last && (at == G_MAXINT64 || at - needs < now);
-  if (job->hopeless)
-    at = MIN (at, last) + HOPELESS_US;
-  return at - needs;
-}
-
-/* A job is within its team's guarantee if it fits into it together with the team's earlier
-   unfinished jobs. */
-static void
-mark_guaranteed (MhCore *core, GPtrArray *jobs)
-{
-  g_autoptr (GHashTable) sums = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  for (guint i = 0; i < jobs->len; i++)
-    {
-      MhJob *job = g_ptr_array_index (jobs, i);
-      const MhTeam *team = mh_settings_team (core->settings, job->spec->team);
-      MhUse *sum = g_hash_table_lookup (sums, job->spec->team);
-      if (sum == NULL)
-        {
-          sum = g_new0 (MhUse, 1);
-          g_hash_table_insert (sums, job->spec->team, sum);
-        }
-      double left = job->spec->tasks - job->n_done;
-      sum->cpus += left * job->spec->cpus;
-      sum->gpus += left * job->spec->gpus;
-      job->guaranteed
-          = team && sum->cpus <= team->cpus + EPSILON && sum->gpus <= team->gpus + EPSILON;
-    }
-}
-
-GPtrArray *
-mh_place_queue (MhCore *core)
-{
-  GPtrArray *jobs = g_ptr_array_new ();
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, core->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      MhJob *job = value;
-      if (job->accepted && !mh_job_over (job))
-        g_ptr_array_add (jobs, job);
-    }
-  g_ptr_array_sort (jobs, by_submission);
-  mark_guaranteed (core, jobs);
-  guint kept = 0;
-  for (guint i = 0; i < jobs->len; i++)
-    {
-      MhJob *job = g_ptr_array_index (jobs, i);
-      if (mh_job_pending (job) == 0)
-        {
-          job->wanted_us = 0;
-          continue;
-        }
-      if (job->wanted_us == 0)
-        job->wanted_us = core->now.mono_us;
-      job->starved = starved (core, job);
-      job->start_by_us = start_by (core, job);
-      jobs->pdata[kept++] = job;
-    }
-  g_ptr_array_set_size (jobs, (gint)kept);
-  g_ptr_array_sort (jobs, by_order);
-  return jobs;
-}
-
-/* How long a start of the job may still take, by the aims that hold for it. Once it is late there
-   is no hurry. A guarantee without an aim means soon. */
-static gint64
-patience_of (const MhCore *core, const MhJob *job)
-{
-  gint64 waited = core->now.mono_us - job->submitted_us, least = 60 * MH_SECOND_US;
-  bool promised = false;
-  for (guint i = 0; i < core->settings->objectives->len; i++)
-    {
-      const MhObjective *o = g_ptr_array_index (core->settings->objectives, i);
-      bool holds = o->kind == MH_OBJECTIVE_WAIT
-                       ? g_strcmp0 (o->class_name, job->spec->class_name) == 0
-                       : o->kind == MH_OBJECTIVE_GUARANTEE && job->guaranteed;
-      promised |= o->kind == MH_OBJECTIVE_GUARANTEE;
-      if (holds && waited < o->within_us)
-        least = MIN (least, o->within_us - waited);
-    }
-  if (job->guaranteed && !promised)
-    least = MIN (least, 3 * MH_SECOND_US);
-  return least;
-}
-
 /* ---- one pass over the queue ---- */
 
 /* Tasks of this size found no room on any machine: nor will larger ones, until the next pass. */
@@ -623,8 +414,9 @@
     return false;
   /* Only from those that stand further back in the queue: else the two stop each other in turn, as
      urgent work beyond its guarantee and normal work within one once did for a thousand times. */
-  if (tier (wants) > tier (holds)
-      || (tier (wants) == tier (holds) && wants->spec->priority <= holds->spec->priority))
+  if (mh_queue_tier (wants) > mh_queue_tier (holds)
+      || (mh_queue_tier (wants) == mh_queue_tier (holds)
+          && wants->spec->priority <= holds->spec->priority))
     return false;
   if (holds->spec->priority < wants->spec->priority)
     return true;
@@ -795,8 +587,8 @@
     {
       const MhJob *other = g_ptr_array_index (pass->stuck, i);
       const MhJobSpec *o = other->spec;
-      if (tier (other) <= tier (job) && o->priority >= s->priority && o->cpus <= s->cpus
-          && o->mem_gb <= s->mem_gb && (o->spot || !s->spot)
+      if (mh_queue_tier (other) <= mh_queue_tier (job) && o->priority >= s->priority
+          && o->cpus <= s->cpus && o->mem_gb <= s->mem_gb && (o->spot || !s->spot)
           && (!job->guaranteed || (other->guaranteed && strcmp (o->team, s->team) == 0)))
         return true;
     }
@@ -823,7 +615,7 @@
 {
   const MhJobSpec *s = p->job->spec;
   gint64 now = p->core->now.mono_us;
-  if (!p->spread || c->wait_us <= mh_place_fetch_us (p->core, s))
+  if (!p->spread || c->wait_us <= mh_queue_fetch_us (p->core, s))
     return false;
   for (guint i = 0; i < p->pass->coming->len; i++)
     {
@@ -832,7 +624,7 @@
           || !p->type_fits[m->machine->type_index] || m->cpus + EPSILON < s->cpus
           || m->mem + EPSILON < s->mem_gb || (p->job->zone && p->job->zone != m->machine->zone))
         continue;
-      if (m->due_us - now + mh_place_fetch_us (p->core, s) >= c->wait_us)
+      if (m->due_us - now + mh_queue_fetch_us (p->core, s) >= c->wait_us)
         continue;
       m->image = p->job->image;
       m->cpus -= s->cpus;
@@ -894,7 +686,7 @@
   MhJob *job = p->job;
   const MhJobSpec *s = job->spec;
   /* Machines that have not reported yet may have room; running tasks end by themselves. */
-  if (!core->leader.rebuilt || (tier (job) == 3 && s->priority <= MH_PRIORITY_LOW))
+  if (!core->leader.rebuilt || (mh_queue_tier (job) == 3 && s->priority <= MH_PRIORITY_LOW))
     return;
   if (!p->spread && core->now.mono_us - job->wanted_us < p->patience / 3)
     {
@@ -958,7 +750,7 @@
                 .zone_of = zone_of,
                 .type_fits = type_fits,
                 .task = job->cursor,
-                .patience = patience_of (core, job) };
+                .patience = mh_queue_patience_us (core, job) };
   prepare (&p);
   gather (&p);
   place_tasks (&p);
@@ -1026,7 +818,7 @@
     }
   core->placed_us = now;
   core->place_wanted = core->place_urgent = false;
-  g_autoptr (GPtrArray) queue = mh_place_queue (core);
+  g_autoptr (GPtrArray) queue = mh_queue_jobs (core);
   if (queue->len == 0)
     return;
   g_autoptr (GPtrArray) machines = g_ptr_array_new ();
--- a/src/scale.c
+++ b/src/scale.c
@@ -503,7 +503,7 @@
           {
             g_autoptr (GRefString) name = g_ref_string_new_intern (*zone);
             /* What comes up in a zone that is cut off is of no use until that is over. */
-            if (is_refused (core, t, *zone, spot) || mh_fleet_dark (core, name))
+            if (is_refused (core, t, *zone, spot) || mh_silence_dark (core, name))
               continue;
             Kind k = { .type = t,
                        .zone = g_ref_string_acquire (name),
@@ -781,8 +781,8 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       MhJob *job = value;
-      job->run_us = mh_place_run_us (core, job->spec);
-      job->fetch_us = mh_place_fetch_us (core, job->spec);
+      job->run_us = mh_queue_run_us (core, job->spec);
+      job->fetch_us = mh_queue_fetch_us (core, job->spec);
     }
 }
 
@@ -791,7 +791,7 @@
 static void
 plan_rooms (MhCore *core, Plan *plan)
 {
-  g_autoptr (GPtrArray) queue = mh_place_queue (core);
+  g_autoptr (GPtrArray) queue = mh_queue_jobs (core);
   if (queue->len == 0)
     return;
   g_autoptr (GHashTable) asked = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
--- /dev/null
+++ b/src/silence.c
@@ -0,0 +1,266 @@
+/* Silence: who is asked, who is given back, and what is taken for cut off instead. Silence is no
+   proof of anything; only the release of a machine proves soon that its tasks are gone. */
+#include "core-private.h"
+
+#include <string.h>
+
+/* An unanswered command is fenced by a new epoch after this. */
+#define PROBE_TIMEOUT_US (MH_SECOND_US)
+#define DEAF_PROBES 2u
+/* Machines are asked only as fast as the processor's share allows. */
+#define PROBES_PER_CORE_S 400
+/* A zone of so many machines from which nothing has come for so long, for most of a report's
+   interval (all may report at once), or while so many reports should have come, is dark, and stays
+   so for a while when its machines have been given back. */
+#define LEAST_OF_ZONE 3u
+#define DARK_US (2 * MH_SECOND_US)
+#define REPORTS_MISSED 4
+#define STAYS_DARK_US (30 * MH_SECOND_US)
+/* A leader that hears no worker for so long lets another one lead. */
+#define DEAF_LEADER_US (6 * MH_SECOND_US)
+/* A worker that has just learnt of this leader reports again by itself. */
+#define SECOND_REPORT_US (MH_SECOND_US * 7 / 10)
+
+void
+mh_silence_start (MhCore *core)
+{
+  double rate = PROBES_PER_CORE_S * core->settings->core_share;
+  mh_bucket_init (&core->probe_bucket, rate, rate, core->now.mono_us);
+}
+
+void
+mh_silence_clear (MhCore *core)
+{
+  for (guint i = 0; i < core->zones->len; i++)
+    g_ref_string_release (g_array_index (core->zones, MhZone, i).name);
+  g_array_set_size (core->zones, 0);
+}
+
+/* ---- zones ---- */
+
+static MhZone *
+find_zone (const MhCore *core, const GRefString *name)
+{
+  for (guint i = 0; i < core->zones->len; i++)
+    {
+      MhZone *z = &g_array_index (core->zones, MhZone, i);
+      if (z->name == name)
+        return z;
+    }
+  return NULL;
+}
+
+bool
+mh_silence_dark (const MhCore *core, const GRefString *name)
+{
+  const MhZone *z = find_zone (core, name);
+  return z && core->now.mono_us < z->dark_until_us;
+}
+
+void
+mh_silence_heard (MhCore *core, GRefString *name)
+{
+  MhZone *z = find_zone (core, name);
+  if (z == NULL)
+    {
+      MhZone fresh = { .name = g_ref_string_acquire (name) };
+      g_array_append_val (core->zones, fresh);
+      z = &g_array_index (core->zones, MhZone, core->zones->len - 1);
+    }
+  if (core->now.mono_us < z->dark_until_us)
+    mh_info (core, "zone %s: heard from again", z->name);
+  z->heard_us = core->now.mono_us;
+  z->dark_until_us = 0;
+}
+
+/* Reports come from a zone as often as it has machines. When several should have come and none has,
+   the zone is cut off: its machines go on, and each is not to be taken for failed. */
+static void
+look_at_zones (MhCore *core)
+{
+  gint64 now = core->now.mono_us;
+  for (guint i = 0; i < core->zones->len; i++)
+    {
+      MhZone *z = &g_array_index (core->zones, MhZone, i);
+      gint64 report = core->settings->report_us;
+      gint64 patience = MAX (report * 4 / 5, REPORTS_MISSED * report / MAX (z->machines, 1));
+      if (z->machines < LEAST_OF_ZONE || now - z->heard_us < MAX (DARK_US, patience))
+        continue;
+      if (now >= z->dark_until_us)
+        mh_info (core, "zone %s: %u machines, and nothing comes from any of them", z->name,
+                 z->machines);
+      z->dark_until_us = now + STAYS_DARK_US;
+    }
+}
+
+bool
+mh_silence_unreachable (const MhMachine *m)
+{
+  return m->deaf >= DEAF_PROBES;
+}
+
+/* ---- machines ---- */
+
+static void
+probe (MhCore *core, MhMachine *m);
+
+static void
+probe_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  MhMachine *m = mh_fleet_machine (core, data);
+  g_autoptr (MhReport) r = status == 200 ? mh_wire_read_report (body) : NULL;
+  if (m == NULL || m->gone)
+    return;
+  m->probing = false;
+  if (r == NULL || strcmp (r->machine, m->name) != 0)
+    {
+      /* Once may be a lost packet. */
+      if (++m->deaf < DEAF_PROBES)
+        probe (core, m);
+    }
+  else if (r->epoch <= core->leader.own_epoch && mh_fleet_answered (core, m, r))
+    {
+      /* It may report to a former leader that is cut off, which learns from its next report that it
+         is one; without this such workers once stayed there for half a minute. */
+      if (r->epoch < core->leader.load_epoch && mh_leader_valid (core))
+        mh_fleet_send (core, m, true);
+    }
+}
+
+static void
+probe (MhCore *core, MhMachine *m)
+{
+  m->probing = true;
+  mh_core_call (core, MH_RANK_RULES, mh_wire_show (m->endpoint), 0, PROBE_TIMEOUT_US, probe_reply,
+                g_strdup (m->name), g_free);
+}
+
+static void
+ask (MhCore *core, MhMachine *m)
+{
+  if (m->probing || m->deaf || m->endpoint == NULL
+      || !mh_bucket_has (&core->probe_bucket, 1, core->now.mono_us))
+    return;
+  mh_bucket_take (&core->probe_bucket, 1);
+  m->asked_us = core->now.mono_us;
+  probe (core, m);
+}
+
+/* Whether others of its zone have been heard since it was first asked in vain; else it may be the
+   first of many. */
+static bool
+others_heard (const MhCore *core, const MhMachine *m)
+{
+  const MhZone *z = find_zone (core, m->zone);
+  return z == NULL || z->machines < LEAST_OF_ZONE || z->heard_us > m->asked_us;
+}
+
+void
+mh_silence_check (MhCore *core, MhMachine *m)
+{
+  const MhPatience *patience = &core->patience;
+  gint64 now = core->now.mono_us;
+  if (m->reported)
+    {
+      gint64 silent = now - m->heard_us;
+      /* What runs there goes on until the worker's lease is over; nothing is gained by giving it
+         back before. */
+      if (mh_silence_dark (core, m->zone))
+        {
+          if (silent > core->settings->worker_lease_us + MH_SECOND_US)
+            mh_scale_release (core, m, "silent with all of its zone");
+          return;
+        }
+      if (mh_silence_unreachable (m) && m->ignored >= MH_IGNORED_ANSWERS && !patience->cut_off)
+        mh_scale_release (core, m, "nothing reaches it");
+      else if (silent > patience->known_us
+               || (mh_silence_unreachable (m) && !patience->cut_off && others_heard (core, m)
+                   && now - m->hello_us > patience->report_us))
+        mh_scale_release (core, m, m->deaf ? "silent, and gives no answer" : "silent");
+      else if (m->ignored || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
+        ask (core, m);
+      return;
+    }
+  if (m->attempts->len || m->running)
+    {
+      /* A new leader does not wait for the workers to find it, where it knows their address. */
+      if (now - m->hinted_us > SECOND_REPORT_US)
+        ask (core, m);
+      gint64 unseen = now - MAX (core->leader.since_us, m->known_us);
+      if (unseen > patience->unseen_us
+          || (mh_silence_unreachable (m) && !patience->cut_off && others_heard (core, m)
+              && unseen > patience->report_us))
+        mh_scale_release (core, m, "silent since the change of leader");
+      return;
+    }
+  gint64 boot = m->type ? m->type->boot_us : 60 * MH_SECOND_US;
+  if (now - m->rented_us > 3 * boot + 10 * MH_SECOND_US
+      && now - core->leader.since_us > core->settings->report_us * 2 + 6 * MH_SECOND_US)
+    mh_scale_release (core, m, "never came up");
+}
+
+void
+mh_silence_look (MhCore *core)
+{
+  guint silent = 0, unseen = 0, all = 0, hosts = 0;
+  gint64 usual = core->settings->silence_us;
+  /* A new leader's workers need time to find it. */
+  gint64 report = core->settings->report_us * 5 / 4 + MH_SECOND_US * 2 / 5;
+  MhPatience p = { .report_us = report,
+                   .suspect_us = report + MH_SECOND_US / 3,
+                   .known_us = usual,
+                   .unseen_us = usual + 6 * MH_SECOND_US };
+  GHashTableIter it;
+  gpointer value;
+  for (guint i = 0; i < core->zones->len; i++)
+    g_array_index (core->zones, MhZone, i).machines = 0;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      MhMachine *m = value;
+      if (m->gone || m->releasing || !(m->reported || m->attempts->len))
+        continue;
+      if (m->reported)
+        find_zone (core, m->zone)->machines++;
+      all++;
+      hosts += m->replicas > 0;
+      if (m->reported)
+        silent += m->deaf || m->ignored || mh_fleet_silent (core, m, usual);
+      else
+        unseen++;
+    }
+  look_at_zones (core);
+  /* When most are silent at once it is rather this side that is cut off; and a former leader that
+     is cut off from the state service alone may hold all workers for a while. Without this, a new
+     leader once gave back a whole fleet of working machines. */
+  if (silent >= 3 && silent * 2 > all)
+    {
+      p.cut_off = true;
+      p.known_us = core->settings->worker_lease_us + 5 * MH_SECOND_US;
+    }
+  if (unseen >= 3 && unseen * 2 > all)
+    p.unseen_us = MAX (p.unseen_us, mh_fleet_keep_alive_us (core) + 10 * MH_SECOND_US);
+  gint64 every
+      = (gint64)((double)hosts * MH_SECOND_US / (PROBES_PER_CORE_S * core->settings->core_share));
+  /* Both probes are over when the report is overdue. */
+  p.replica_us = MIN (p.suspect_us, MAX (report - DEAF_PROBES * PROBE_TIMEOUT_US, every));
+  core->patience = p;
+}
+
+/* A leader that hears none of several workers, though the state service serves it, is cut off from
+   them. Another controller may not be; and their leases run out. */
+void
+mh_silence_hand_over (MhCore *core)
+{
+  gint64 heard_us = core->leader.since_us;
+  guint machines = 0;
+  for (guint i = 0; i < core->zones->len; i++)
+    {
+      const MhZone *z = &g_array_index (core->zones, MhZone, i);
+      heard_us = MAX (heard_us, z->heard_us);
+      machines += z->machines;
+    }
+  if (machines >= LEAST_OF_ZONE && core->settings->members->len > 0
+      && core->now.mono_us - heard_us > MAX (DEAF_LEADER_US, core->settings->report_us * 3 / 2))
+    mh_leader_hand_over (core, "no worker is heard any more");
+}
