Room is made once for a replica, and is kept for it until it is there

Passes between two looks for victims started the replica elsewhere, and each task was made room for twice.

--- a/src/place.c
+++ b/src/place.c
@@ -139,6 +139,7 @@
   guint task;      /* next pending */
   bool waits;      /* for a machine that is coming */
   bool passed_over;
+  guint made;  /* tasks for which room is being made */
   guint first; /* of the sorted candidates: none below it has room */
 } Placing;
 
@@ -557,6 +558,28 @@
   return true;
 }
 
+/* Whether room for the task is being made where its image comes within `wait_us`. Without this look
+   a replica, for which a task had been stopped, was started elsewhere before that one was gone. */
+static bool
+room_is_made (Placing *p, gint64 wait_us)
+{
+  const MhJobSpec *s = p->job->spec;
+  for (guint i = 0; i < p->pass->usable->len; i++)
+    {
+      MhMachine *m = g_ptr_array_index (p->pass->usable, i);
+      Space could;
+      if (!fits_kind (p, m) || !zone_allows (p, p->zone_of[m->zone_index]))
+        continue;
+      Space x = space_of (p->job, m, &could);
+      if (enough (&x, s) && mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb) <= wait_us)
+        {
+          promise (m, s);
+          return true;
+        }
+    }
+  return false;
+}
+
 /* The counts of a job are rebuilt when every machine on record for it has reported. Since a start
    is on record before it is ordered, a job without one has no task anywhere. When the time for that
    is over, the zones must be known at least: a machine known from a record alone has none yet, and
@@ -659,9 +682,10 @@
       /* A service that would come too late by its image rather takes the room of lesser work where
          the image is. */
       if (p->spread && c->wait_us > p->patience && core->leader.rebuilt
-          && preempt_one (p, MAX (p->patience, 0)))
+          && (room_is_made (p, MAX (p->patience, 0)) || preempt_one (p, MAX (p->patience, 0))))
         {
           p->passed_over = true;
+          p->made++;
           p->task++;
           continue;
         }
@@ -694,7 +718,7 @@
       return;
     }
   double cpus = 0;
-  for (guint n = mh_job_pending (job); n > 0; n--)
+  for (guint n = mh_job_pending (job); n > p->made; n--)
     {
       cpus += s->cpus;
       if (!mh_place_quota_fits (core, job, cpus, 0) || known_stuck (p->pass, job))
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -1033,6 +1033,49 @@
   finish (sim);
 }
 
+/* A replica for which a task is stopped, where its image is, starts there and nowhere else. */
+static void
+test_room_is_made_once (void)
+{
+  Sim *sim = sim_new (43);
+  for (guint i = 0; i < SIM_NODES; i++)
+    {
+      MhObjective *o = g_new0 (MhObjective, 1);
+      *o = (MhObjective){ .kind = MH_OBJECTIVE_WAIT,
+                          .class_name = g_strdup ("live"),
+                          .within_us = 3 * MH_SECOND_US };
+      g_ptr_array_add (sim->nodes[i].settings->objectives, o);
+    }
+  world_add_machine (sim->world, "small", "a", false);
+  sim_run (sim, 8);
+  SimUser *first = running_service (sim, 3, 1); /* its image is there now */
+  MhJobSpec *lesser = sim_spec (4, MH_SHAPE_ARRAY, 3, 1);
+  lesser->priority = MH_PRIORITY_LOW;
+  SimUser *array = sim_submit (sim, lesser, 200);
+  WAIT (sim, 30, all_run, array);
+  world_add_machine (sim->world, "large", "a", false);
+  sim_run (sim, 8);
+  MhJobSpec *s = sim_spec (5, MH_SHAPE_SERVICE, 1, 1);
+  g_free (s->image);
+  s->image = g_strdup (first->job->spec->image);
+  s->image_gb = 20;
+  sim->hold_commands = true; /* the stop goes with the next report */
+  SimUser *u = sim_submit (sim, s, 0);
+  for (guint i = 0; i < 20; i++)
+    {
+      /* Others, with another image, keep the passes coming. */
+      sim_submit (sim, sim_spec (20 + 6 * i, MH_SHAPE_ARRAY, 1, 0.1), 0.1);
+      sim_run (sim, 0.06);
+    }
+  WAIT (sim, 12, all_run, u);
+  g_assert_true (worker_of (sim, "j-000005/0") == worker_of (sim, "j-000003/0"));
+  guint stops = 0;
+  for (guint i = 0; i < sim->log->len; i++)
+    stops += strstr (g_ptr_array_index (sim->log, i), "to make room") != NULL;
+  g_assert_cmpuint (stops, ==, 1);
+  finish (sim);
+}
+
 /* Several hundred machines, all controllers crash, and everything is served. */
 static void
 test_large_fleet (void)
@@ -1103,6 +1146,7 @@
   ADD ("images-apart", test_images_apart);
   ADD ("leader-loses-workers", test_leader_loses_workers);
   ADD ("dark-zone", test_dark_zone);
+  ADD ("room-is-made-once", test_room_is_made_once);
   ADD ("large-fleet", test_large_fleet);
   return g_test_run ();
 }
