--- a/src/place.c
+++ b/src/place.c
@@ -405,6 +405,33 @@
   return best;
 }
 
+/* Fetches side by side share a machine's rate, so that each takes as long as all. A replica whose
+   image would come later so than on a machine that is on its way and has no other to fetch waits
+   for that one. */
+static bool
+better_wait (Placing *p, gint64 wait_us)
+{
+  const MhJobSpec *s = p->job->spec;
+  gint64 now = p->core->now.mono_us;
+  if (!p->spread || wait_us <= mh_queue_fetch_us (p->core, s))
+    return false;
+  for (guint i = 0; i < p->pass->coming->len; i++)
+    {
+      Coming *m = &g_array_index (p->pass->coming, Coming, i);
+      if ((m->image && m->image != p->job->image) || m->machine->spot
+          || !p->type_fits[m->machine->type_index] || m->cpus + EPSILON < s->cpus
+          || m->mem + EPSILON < s->mem_gb || (p->job->zone && p->job->zone != m->machine->zone))
+        continue;
+      if (m->due_us - now + mh_queue_fetch_us (p->core, s) >= wait_us)
+        continue;
+      m->image = p->job->image;
+      m->cpus -= s->cpus;
+      m->mem -= s->mem_gb;
+      return true;
+    }
+  return false;
+}
+
 /* ---- preemption ---- */
 
 static bool
@@ -515,6 +542,7 @@
 {
   const MhJobSpec *s = p->job->spec;
   MhMachine *best = NULL;
+  gint64 best_wait = 0;
   double best_loss = G_MAXDOUBLE;
   g_autoptr (GPtrArray) victims = g_ptr_array_new ();
   if (s->gpus > 0)
@@ -540,10 +568,15 @@
       if (loss >= best_loss)
         continue;
       best = m;
+      best_wait = wait;
       best_loss = loss;
     }
   if (best == NULL)
     return false;
+  /* Else it would be passed over on the very room that was made, others would take it, and more
+     would be made: at the start of a day one service had eighty tasks stopped so. */
+  if (better_wait (p, best_wait))
+    return true;
   Space could;
   Space x = space_of (p->job, best, &could);
   choose_victims (p, best, x, victims);
@@ -630,33 +663,6 @@
   return true;
 }
 
-/* Fetches side by side share a machine's rate, so that each takes as long as all. A replica whose
-   image would come later so than on a machine that is on its way and has no other to fetch waits
-   for that one. */
-static bool
-better_wait (Placing *p, const Candidate *c)
-{
-  const MhJobSpec *s = p->job->spec;
-  gint64 now = p->core->now.mono_us;
-  if (!p->spread || c->wait_us <= mh_queue_fetch_us (p->core, s))
-    return false;
-  for (guint i = 0; i < p->pass->coming->len; i++)
-    {
-      Coming *m = &g_array_index (p->pass->coming, Coming, i);
-      if ((m->image && m->image != p->job->image) || m->machine->spot
-          || !p->type_fits[m->machine->type_index] || m->cpus + EPSILON < s->cpus
-          || m->mem + EPSILON < s->mem_gb || (p->job->zone && p->job->zone != m->machine->zone))
-        continue;
-      if (m->due_us - now + mh_queue_fetch_us (p->core, s) >= c->wait_us)
-        continue;
-      m->image = p->job->image;
-      m->cpus -= s->cpus;
-      m->mem -= s->mem_gb;
-      return true;
-    }
-  return false;
-}
-
 /* Starts what finds room. */
 static void
 place_tasks (Placing *p)
@@ -689,7 +695,7 @@
           p->task++;
           continue;
         }
-      if (better_wait (p, c))
+      if (better_wait (p, c->wait_us))
         {
           p->waits = p->passed_over = true;
           p->task++;
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -966,8 +966,17 @@
       s->image_gb = 10;
       u[i] = sim_submit (sim, s, 0);
     }
+  for (guint i = 8; i < 10; i++)
+    {
+      MhJobSpec *lesser = sim_spec (i, MH_SHAPE_ARRAY, 7, 1);
+      lesser->priority = MH_PRIORITY_LOW;
+      lesser->estimate_us = 300 * MH_SECOND_US;
+      sim_submit (sim, lesser, 300);
+    }
   for (guint i = 0; i < 4; i++)
     WAIT (sim, 60, all_run, u[i]);
+  /* Nor is anything stopped for them on the machine that is full by now. */
+  g_assert_false (sim_logged (sim, "to make room"));
   guint used = 0;
   for (guint i = 0; i < sim->world->machines->len; i++)
     used += ((WorldMachine *)g_ptr_array_index (sim->world->machines, i))->tasks->len > 0;
