--- a/src/place.c
+++ b/src/place.c
@@ -535,8 +535,29 @@
   return loss;
 }
 
-/* Makes room for one task, or finds that it is being made, where its image comes within `wait_us`.
- */
+/* Whether room for the task is being made where its image comes within `wait_us`. Without this look
+   a replica, for which a task had been stopped, was started elsewhere before that one was gone. */
+static bool
+room_is_made (Placing *p, gint64 wait_us)
+{
+  const MhJobSpec *s = p->job->spec;
+  for (guint i = 0; i < p->pass->usable->len; i++)
+    {
+      MhMachine *m = g_ptr_array_index (p->pass->usable, i);
+      Space could;
+      if (!fits_kind (p, m) || !zone_allows (p, p->zone_of[m->zone_index]))
+        continue;
+      Space x = space_of (p->job, m, &could);
+      if (enough (&x, s) && mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb) <= wait_us)
+        {
+          promise (m, s);
+          return true;
+        }
+    }
+  return false;
+}
+
+/* Makes room for one task where its image comes within `wait_us`. */
 static bool
 preempt (Placing *p, gint64 wait_us)
 {
@@ -545,8 +566,6 @@
   gint64 best_wait = 0;
   double best_loss = G_MAXDOUBLE;
   g_autoptr (GPtrArray) victims = g_ptr_array_new ();
-  if (s->gpus > 0)
-    return false;
   for (guint i = 0; i < p->pass->usable->len; i++)
     {
       MhMachine *m = g_ptr_array_index (p->pass->usable, i);
@@ -559,11 +578,6 @@
       gint64 wait = mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb);
       if (wait > wait_us)
         continue;
-      if (enough (&x, s))
-        {
-          promise (m, s);
-          return true;
-        }
       double loss = (double)wait / MH_SECOND_US + choose_victims (p, m, x, victims);
       if (loss >= best_loss)
         continue;
@@ -591,28 +605,6 @@
   return true;
 }
 
-/* Whether room for the task is being made where its image comes within `wait_us`. Without this look
-   a replica, for which a task had been stopped, was started elsewhere before that one was gone. */
-static bool
-room_is_made (Placing *p, gint64 wait_us)
-{
-  const MhJobSpec *s = p->job->spec;
-  for (guint i = 0; i < p->pass->usable->len; i++)
-    {
-      MhMachine *m = g_ptr_array_index (p->pass->usable, i);
-      Space could;
-      if (!fits_kind (p, m) || !zone_allows (p, p->zone_of[m->zone_index]))
-        continue;
-      Space x = space_of (p->job, m, &could);
-      if (enough (&x, s) && mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb) <= wait_us)
-        {
-          promise (m, s);
-          return true;
-        }
-    }
-  return false;
-}
-
 /* The counts of a job are rebuilt when every machine on record for it has reported. Since a start
    is on record before it is ordered, a job without one has no task anywhere. When the time for that
    is over, the zones must be known at least: a machine known from a record alone has none yet, and
@@ -654,6 +646,10 @@
 static bool
 preempt_one (Placing *p, gint64 wait_us)
 {
+  if (p->job->spec->gpus > 0)
+    return false;
+  if (room_is_made (p, wait_us))
+    return true;
   if (!p->pass->may_preempt || p->pass->preemptions >= PREEMPTIONS_PER_PASS)
     return false;
   p->core->preempted_us = p->core->now.mono_us;
@@ -688,7 +684,7 @@
       /* A service that would come too late by its image rather takes the room of lesser work where
          the image is. */
       if (p->spread && c->wait_us > p->patience && core->leader.rebuilt
-          && (room_is_made (p, MAX (p->patience, 0)) || preempt_one (p, MAX (p->patience, 0))))
+          && preempt_one (p, MAX (p->patience, 0)))
         {
           p->passed_over = true;
           p->made++;
