--- a/src/core-private.h
+++ b/src/core-private.h
@@ -263,8 +263,7 @@
                      double gb);
 double
 mh_fleet_hourly (const MhMachine *machine); /* its price; the type must be known */
-/* The worker's answer to a question or a command of this leader; false: not newer than what is
- * known. */
+/* The worker's answer to a question or a command of this leader; false: nothing newer. */
 bool
 mh_fleet_answered (MhCore *core, MhMachine *machine, const MhReport *report);
 /* Directly, what has not been said. `epoch_only`: even if that is nothing but the epoch. */
@@ -408,8 +407,7 @@
 void
 mh_scale_release (MhCore *core, MhMachine *machine, const char *why);
 
-/* What is written first: a user or a service waits for it; a start or the end of a job; progress.
- */
+/* Written in this order: a user or a service waits; a start or the end of a job; progress. */
 typedef enum
 {
   MH_URGENCY_USER,
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -10,6 +10,7 @@
 #define DIRECTS_PER_CORE_S 250
 /* Silence, notices and what was not said at once are looked after so often. */
 #define SWEEP_US (MH_SECOND_US / 5)
+/* An unanswered command is fenced by a new epoch after this. */
 #define LOOSE_US (6 * MH_SECOND_US)
 #define REMEMBER_GONE_US (90 * MH_SECOND_US)
 /* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
--- a/src/silence.c
+++ b/src/silence.c
@@ -4,9 +4,9 @@
 
 #include <string.h>
 
-/* An unanswered command is fenced by a new epoch after this. */
-#define PROBE_TIMEOUT_US (MH_SECOND_US)
+/* Questions in a row without an answer: one may be a lost packet. */
 #define DEAF_PROBES 2u
+#define PROBE_TIMEOUT_US (MH_SECOND_US)
 /* Machines are asked only as fast as the processor's share allows. */
 #define PROBES_PER_CORE_S 400
 /* A zone of so many machines from which nothing has come for so long, for most of a report's
@@ -114,7 +114,6 @@
   m->probing = false;
   if (r == NULL || strcmp (r->machine, m->name) != 0)
     {
-      /* Once may be a lost packet. */
       if (++m->deaf < DEAF_PROBES)
         probe (core, m);
     }
@@ -220,8 +219,9 @@
       MhMachine *m = value;
       if (m->gone || m->releasing || !(m->reported || m->attempts->len))
         continue;
-      if (m->reported)
-        find_zone (core, m->zone)->machines++;
+      MhZone *z = m->reported ? find_zone (core, m->zone) : NULL;
+      if (z)
+        z->machines++;
       all++;
       hosts += m->replicas > 0;
       if (m->reported)
