A list of machine types may be of any length; only those that exist are kept

PROTOCOL names no limit, and a valid job is refused for its reasons alone. Types that do not exist cannot matter to placement, and a list of thousands would not fit a record of 8 KiB.

--- a/src/core.c
+++ b/src/core.c
@@ -249,6 +249,24 @@
   return 422;
 }
 
+/* A user may allow thousands of machine types; only those that exist can matter, and only they have
+   to fit the job's record. */
+static void
+keep_known_types (const MhCore *core, MhJobSpec *spec)
+{
+  if (spec->types == NULL || core->types == NULL)
+    return;
+  g_autoptr (GStrvBuilder) known = g_strv_builder_new ();
+  for (guint i = 0; i < core->types->len; i++)
+    {
+      const MhMachineType *t = g_ptr_array_index (core->types, i);
+      if (g_strv_contains ((const char *const *)spec->types, t->name))
+        g_strv_builder_add (known, t->name);
+    }
+  g_strfreev (spec->types);
+  spec->types = g_strv_builder_end (known);
+}
+
 static void
 submit (MhCore *core, guint64 id, MhJobSpec *spec)
 {
@@ -268,6 +286,7 @@
     }
   if (job == NULL)
     {
+      keep_known_types (core, spec);
       guint status = judge (core, spec);
       if (status == 422)
         {
--- a/src/wire.c
+++ b/src/wire.c
@@ -568,11 +568,8 @@
       || !read_amount (b, "mem_gb", 1e9, &s->mem_gb)
       || !read_amount (b, "size_gb", 1e9, &s->image_gb))
     return NULL;
-  if (!read_names (b, "racks", &s->types) || (s->types && g_strv_length (s->types) > 64))
+  if (!read_names (b, "racks", &s->types))
     return NULL;
-  for (char **t = s->types; t && *t; t++)
-    if (strlen (*t) > 64)
-      return NULL;
   if (mh_value_get (b, "hall") && !(s->zone = read_name (b, "hall")))
     return NULL;
   if (!read_flag (b, "same_place", &s->one_zone) || !read_flag (b, "scatter", &s->scatter)
