--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -859,7 +859,7 @@
 {
   Sim *sim = sim_new (35);
   sim->world->capacity = 1;
-  MhJobSpec *s = sim_spec (2, MH_SHAPE_ARRAY, 300, 4);
+  MhJobSpec *s = sim_spec (2, MH_SHAPE_ARRAY, 300, 10);
   s->priority = MH_PRIORITY_LOW;
   world_add_machine (sim->world, "large", "a", false);
   sim_run (sim, 10);
@@ -871,7 +871,8 @@
   while (large->job->n_done == 0 && sim->now_us - from < 240 * MH_SECOND_US)
     {
       /* One after the other, so that never enough for the large job's tasks is free at once. */
-      sim_submit (sim, sim_spec (next++, MH_SHAPE_ARRAY, 1, 2), 6);
+      sim_submit (sim, sim_spec (next, MH_SHAPE_ARRAY, 1, 2), 4 + next % 7 * 0.7);
+      next++;
       sim_run (sim, 0.6);
     }
   g_assert_cmpuint (large->job->n_done, >, 0);
