--- a/src/core-private.h
+++ b/src/core-private.h
@@ -135,6 +135,12 @@
 /* The grant tells an earlier life of the same node from this one. */
 MhValue *
 mh_record_write_leader (const char *node, guint64 epoch, guint64 claim);
+/* Keys of machines that are being given back begin with this. */
+#define MH_RECORD_RELEASES "r/"
+MhValue *
+mh_record_write_release (char **machines);
+char **
+mh_record_read_release (const MhValue *value); /* NULL: malformed */
 MhValue *
 mh_record_write_epoch (guint64 epoch);
 bool
@@ -177,14 +183,15 @@
   gint64 placed_us, running_us;
 };
 
-/* A direct command that got no answer: it may be carried out at any later time, as long as epoch
-   and tenure still match. */
+/* A start that was sent straight to the worker: it, or a late copy of it, may be carried out at any
+   later time, as long as epoch and tenure still match. */
 typedef struct
 {
   char *job;
   guint index;
   guint64 attempt, epoch, tenure;
-  gint64 since_us;
+  bool answered; /* that it was carried out */
+  bool lost;     /* no answer will come */
 } MhLoose;
 
 /* A task on a machine that is no live attempt of ours. */
@@ -209,11 +216,9 @@
   const MhMachineType *type;
   guint type_index, zone_index; /* zone: in this pass */
   bool spot;
-  bool reported;  /* to this leader, for certain: with its epoch, or asked by it */
-  bool draining;  /* takes nothing new; what it holds is moved */
-  bool releasing; /* decided; holds until it is confirmed */
-  bool release_sent;
-  bool gone;                     /* confirmed released */
+  bool reported;                 /* to this leader, for certain: with its epoch, or asked by it */
+  bool draining;                 /* takes nothing new; what it holds is moved */
+  bool releasing;                /* decided; holds until it is confirmed */
   bool probing;                  /* being asked whether it is alive */
   guint deaf;                    /* probes in a row without an answer */
   guint ignored;                 /* answers in a row that its next report shows nothing of */
@@ -227,8 +232,10 @@
   gint64 hinted_us;       /* a report of unknown age came */
   gint64 notice_until_us; /* -1: no notice */
   guint64 tenure, tick, epoch;
+  guint fence;         /* how often its epoch was raised in this leadership */
+  gint64 held_us;      /* a clear has waited for that since then; 0: none */
   GPtrArray *attempts; /* MhAttempt */
-  GArray *loose;       /* MhLoose */
+  GArray *loose;       /* MhLoose, for which its epoch has not been raised */
   GArray *strays;      /* MhStray */
   GPtrArray *cache;    /* MhCached */
   guint direct;        /* direct commands without an answer yet */
@@ -238,7 +245,6 @@
   double used_cpus, used_gpus, used_mem;
   double promised_cpus, promised_mem; /* to tasks that wait for preempted ones, in this pass */
   gint64 hold_us;                     /* no start before: it refused one */
-  gint64 gone_us;
 };
 
 static inline MhAttempt *
@@ -253,6 +259,9 @@
 mh_fleet_add (MhCore *core, const char *name, const char *type, const char *zone, bool spot);
 void
 mh_fleet_types_changed (MhCore *core);
+/* How long nothing has come that should have, since `heard_us`. */
+gint64
+mh_fleet_silence_us (const MhCore *core, gint64 heard_us);
 bool
 mh_fleet_silent (const MhCore *core, const MhMachine *machine, gint64 for_us);
 /* Images by interned names. */
@@ -284,8 +293,11 @@
 mh_fleet_hello (MhCore *core, guint64 id, const MhReport *report);
 void
 mh_fleet_step (MhCore *core);
+/* Its release is confirmed: the machine is forgotten but for its name. */
 void
-mh_fleet_gone (MhCore *core, MhMachine *machine); /* confirmed released */
+mh_fleet_gone (MhCore *core, MhMachine *machine);
+bool
+mh_fleet_returned (const MhCore *core, const char *name);
 MhAttempt *
 mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, MhMachine *machine);
 void
@@ -384,7 +396,7 @@
 gint64
 mh_queue_fetch_us (const MhCore *core, const MhJobSpec *spec); /* of its image, alone */
 
-/* ---- place, scale, store, leader ---- */
+/* ---- place, scale ---- */
 
 void
 mh_place_step (MhCore *core);
@@ -404,8 +416,21 @@
 mh_scale_step (MhCore *core);
 void
 mh_scale_clear (MhCore *core);
+
+/* ---- release ---- */
+
+/* A machine that is deleted costs at least this. */
+#define MH_LEAST_PAID_US (60 * MH_SECOND_US)
+void
+mh_release_machine (MhCore *core, MhMachine *machine, const char *why);
+void
+mh_release_load (MhCore *core, const MhEntry *entry);
+void
+mh_release_step (MhCore *core);
 void
-mh_scale_release (MhCore *core, MhMachine *machine, const char *why);
+mh_release_clear (MhCore *core);
+
+/* ---- store ---- */
 
 /* Written in this order: a user or a service waits; a start or the end of a job; progress. */
 typedef enum
@@ -417,14 +442,15 @@
 #define MH_URGENCIES 3
 void
 mh_store_touch (MhCore *core, MhRecord *record, MhUrgency urgency);
+/* The key is of no use any more. */
+void
+mh_store_drop (MhCore *core, const char *key);
 void
 mh_store_step (MhCore *core);
 void
 mh_store_load (MhCore *core); /* ends in mh_leader_loaded */
 void
 mh_store_clear (MhCore *core);
-bool
-mh_store_idle (const MhCore *core);
 /* `in_charge`: a leader with a valid lease has looked in memory, and only the final record is left
    to read. A leader whose lease had lapsed once said "never heard of it" of unfinished jobs,
    because the phase alone was asked. */
@@ -432,6 +458,10 @@
 mh_store_lookup (MhCore *core, guint64 request_id, const char *job, MhUserVerb verb,
                  bool in_charge);
 
+/* Each leadership takes so many epochs, of which each worker is given ever higher ones when a
+   command to it has to be fenced: that costs no write, and no other worker notices. */
+#define MH_EPOCHS_EACH 1000000u
+
 typedef enum
 {
   MH_PHASE_FOLLOW,
@@ -455,8 +485,6 @@
 mh_leader_hand_over (MhCore *core, const char *why);
 bool
 mh_leader_valid (const MhCore *core); /* may order and answer from memory */
-bool
-mh_leader_bump (MhCore *core); /* raises the epoch to fence what is in flight */
 
 /* ---- core ---- */
 
@@ -488,6 +516,7 @@
   guint64 next_id;
   GQueue actions;
   gint64 wake_us;
+  gint64 awake_us; /* since it last stood still; 0: it never did */
 
   GHashTable *calls; /* id -> MhCall */
   GQueue state_queue[MH_RANKS], cloud_queue[MH_RANKS];
@@ -500,9 +529,8 @@
     char *node;    /* who leads, as far as known */
     guint64 epoch; /* that node's */
     guint64 key_stamp;
-    guint64 own_epoch; /* while leading */
+    guint64 own_epoch; /* while leading: the first of MH_EPOCHS_EACH */
     guint64 own_stamp;
-    guint64 load_epoch; /* all orders of earlier leaders have lower ones */
     guint64 claim;
     gint64 valid_until_us; /* of the lease, by the steady clock */
     gint64 confirmed_us;   /* a renewal that was answered was sent then */
@@ -512,11 +540,9 @@
     gint64 since_us;               /* leading since */
     gint64 usable_us;              /* when a usable leader was last known */
     gint64 unreached_us, tried_us; /* users' requests have not reached it since; the last one */
-    bool bumping, bump_sent;
-    const char *lost; /* why, until the next step */
-    bool hands_over;  /* ... and another one shall lead */
+    const char *lost;              /* why, until the next step */
+    bool hands_over;               /* ... and another one shall lead */
     gint64 shy_until_us;
-    gint64 bumped_us;
     bool rebuilt; /* every machine that should has reported, or has had the time */
     gint64 rebuild_until_us;
     gint64 told_us;
@@ -530,9 +556,11 @@
   GQueue garbage;             /* keys to drop */
   guint txns;                 /* in flight */
   guint64 rev;
-  GHashTable *machines; /* name -> MhMachine */
-  GPtrArray *due;       /* MhMachine, not owned */
-  GArray *zones;        /* MhZone */
+  GHashTable *machines;  /* name -> MhMachine */
+  GHashTable *returned;  /* names of machines that are gone */
+  GQueue returned_order; /* Returned */
+  GPtrArray *due;        /* MhMachine, not owned */
+  GArray *zones;         /* MhZone */
   MhPatience patience;
   guint replicas; /* of services, on all machines */
   gint64 swept_us;
@@ -547,11 +575,17 @@
   struct
   {
     gint64 types_us, list_us, step_us, tell_us;
-    bool types_busy, list_busy, renting, listed, releases_wanted;
-    gint64 release_us;
+    bool types_busy, list_busy, renting, listed;
     guint64 rentals;
     GHashTable *refused; /* type/zone/kind -> gint64 until */
   } scale;
+
+  struct
+  {
+    GQueue wanted; /* names of machines */
+    gint64 next_us;
+    guint parcels;
+  } release;
 };
 
 void
--- a/src/core.c
+++ b/src/core.c
@@ -10,6 +10,17 @@
    after the first, and tries again after the second. */
 #define UNREACHED_US (MH_SECOND_US * 3 / 2)
 #define TRY_AGAIN_US (4 * MH_SECOND_US)
+/* A tick that comes so much too late was not held up by work. */
+#define STILL_US MH_SECOND_US
+
+static void
+call_free (gpointer data)
+{
+  MhCall *call = data;
+  if (call->free)
+    call->free (call->data);
+  g_free (call);
+}
 
 void
 mh_action_free (MhAction *a)
@@ -28,14 +39,43 @@
   MhAction *a = g_new0 (MhAction, 1);
   a->kind = kind;
   a->id = id;
+  if (kind == MH_ACTION_ANSWER_USER && mh_leader_valid (core))
+    a->until_us = core->leader.valid_until_us;
   g_queue_push_tail (&core->actions, a);
   return a;
 }
 
+/* The end of a call; one that is not known any more was forgotten with a leadership. */
+static void
+call_over (MhCore *core, guint64 id, guint status, const MhValue *body)
+{
+  gpointer key, value;
+  if (!g_hash_table_steal_extended (core->calls, &id, &key, &value))
+    return;
+  MhCall *call = value;
+  call->func (core, call->data, status, body);
+  g_free (key);
+  call_free (call);
+}
+
+/* The process may stand still between deciding and sending, while its clocks run on: what rests on
+   a lease is judged once more, by a fresh clock. */
 MhAction *
-mh_core_pop (MhCore *core)
+mh_core_pop (MhCore *core, gint64 mono_us)
 {
-  return g_queue_pop_head (&core->actions);
+  MhAction *a;
+  while ((a = g_queue_pop_head (&core->actions)) && a->until_us && mono_us >= a->until_us)
+    {
+      a->until_us = 0;
+      a->status = 503;
+      a->answer = (MhUserAnswer){ .status = 503, .retry_after_s = 1 };
+      g_clear_pointer (&a->body, mh_value_unref);
+      if (a->kind != MH_ACTION_CALL)
+        break;
+      call_over (core, a->id, 0, NULL);
+      mh_action_free (a);
+    }
+  return a;
 }
 
 void
@@ -61,17 +101,22 @@
   return core->wake_us;
 }
 
-/* ---- calls ---- */
-
+/* Every input begins here. A tick was due long ago: this process stood still, and what it has not
+   heard meanwhile says nothing of those who spoke. */
 static void
-call_free (gpointer data)
+enter (MhCore *core, const MhNow *now)
 {
-  MhCall *call = data;
-  if (call->free)
-    call->free (call->data);
-  g_free (call);
+  if (core->wake_us && now->mono_us > core->wake_us + STILL_US)
+    {
+      mh_info (core, "stood still for %.1f s",
+               (double)(now->mono_us - core->wake_us) / MH_SECOND_US);
+      core->awake_us = now->mono_us;
+    }
+  core->now = *now;
 }
 
+/* ---- calls ---- */
+
 static void
 queued_free (gpointer data)
 {
@@ -86,6 +131,9 @@
   MhAction *a = mh_core_act (core, MH_ACTION_CALL, q->id);
   a->request = g_steal_pointer (&q->request);
   a->timeout_us = q->timeout_us;
+  /* Commands, rentals, releases. What is written has its own conditions. */
+  if (a->request->target != MH_TARGET_STATE && a->request->body)
+    a->until_us = core->leader.valid_until_us;
   queued_free (q);
 }
 
@@ -149,6 +197,8 @@
 flush_cloud (MhCore *core)
 {
   gint64 now = core->now.mono_us;
+  if (!mh_leader_valid (core))
+    return;
   for (guint rank = 0; rank < MH_RANKS; rank++)
     for (MhQueued *q; (q = g_queue_peek_head (&core->cloud_queue[rank]));)
       {
@@ -183,15 +233,8 @@
 void
 mh_core_reply (MhCore *core, const MhNow *now, guint64 id, guint status, const MhValue *body)
 {
-  gpointer key, value;
-  core->now = *now;
-  if (g_hash_table_steal_extended (core->calls, &id, &key, &value))
-    {
-      MhCall *call = value;
-      call->func (core, call->data, status, body);
-      g_free (key);
-      call_free (call);
-    }
+  enter (core, now);
+  call_over (core, id, status, body);
   mh_core_step (core);
 }
 
@@ -334,7 +377,7 @@
 mh_core_user (MhCore *core, const MhNow *now, guint64 id, MhUserVerb verb, const char *job_id,
               MhJobSpec *spec, bool forwarded)
 {
-  core->now = *now;
+  enter (core, now);
   bool in_charge = core->leader.phase == MH_PHASE_LEAD && mh_leader_valid (core);
   const MhUserAnswer *final = g_hash_table_lookup (core->finals, job_id);
   if (!in_charge)
@@ -381,7 +424,7 @@
 void
 mh_core_forwarded (MhCore *core, const MhNow *now, guint64 id, const MhUserAnswer *answer)
 {
-  core->now = *now;
+  enter (core, now);
   g_autofree char *job = NULL;
   gpointer key = NULL, value = NULL;
   if (!g_hash_table_steal_extended (core->forwards, &id, &key, &value))
@@ -409,7 +452,7 @@
 void
 mh_core_hello (MhCore *core, const MhNow *now, guint64 id, const MhReport *report)
 {
-  core->now = *now;
+  enter (core, now);
   if (core->leader.phase >= MH_PHASE_LOAD)
     mh_fleet_hello (core, id, report);
   else
@@ -424,7 +467,7 @@
 void
 mh_core_news (MhCore *core, const MhNow *now, const char *node, guint64 epoch)
 {
-  core->now = *now;
+  enter (core, now);
   mh_leader_news (core, node, epoch);
   mh_core_step (core);
 }
@@ -460,6 +503,7 @@
       mh_fleet_step (core);
       mh_place_step (core);
       mh_scale_step (core);
+      mh_release_step (core);
       mh_store_step (core);
     }
   mh_core_flush (core);
@@ -468,7 +512,7 @@
 void
 mh_core_tick (MhCore *core, const MhNow *now)
 {
-  core->now = *now;
+  enter (core, now);
   mh_core_step (core);
 }
 
@@ -485,6 +529,7 @@
   core->finals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mh_fleet_free_machine);
   core->team_use = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  core->returned = g_hash_table_new (g_str_hash, g_str_equal);
   core->due = g_ptr_array_new ();
   core->zones = g_array_new (FALSE, TRUE, sizeof (MhZone));
   core->class_stats = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -509,6 +554,7 @@
   mh_store_clear (core);
   mh_fleet_clear (core);
   mh_scale_clear (core);
+  mh_release_clear (core);
   mh_core_drop_calls (core);
   g_queue_clear_full (&core->actions, (GDestroyNotify)mh_action_free);
   g_queue_clear_full (&core->finals_order, g_free);
@@ -519,6 +565,7 @@
   g_hash_table_unref (core->jobs);
   g_hash_table_unref (core->finals);
   g_hash_table_unref (core->team_use);
+  g_hash_table_unref (core->returned);
   g_ptr_array_unref (core->due);
   g_array_unref (core->zones);
   g_hash_table_unref (core->class_stats);
--- a/src/core.h
+++ b/src/core.h
@@ -31,9 +31,10 @@
   gint64 timeout_us;  /* CALL, FORWARD */
   MhRequest *request; /* CALL */
   MhUserAnswer answer;
-  guint status;  /* ANSWER_HELLO */
-  MhValue *body; /* ANSWER_HELLO */
-  char *text;    /* FORWARD, TELL: the node; LOG: the line */
+  guint status;    /* ANSWER_HELLO */
+  MhValue *body;   /* ANSWER_HELLO */
+  char *text;      /* FORWARD, TELL: the node; LOG: the line */
+  gint64 until_us; /* rests on a lease that ends then; 0: on none */
   GLogLevelFlags level;
 } MhAction;
 
@@ -65,8 +66,9 @@
 void
 mh_core_news (MhCore *core, const MhNow *now, const char *node, guint64 epoch);
 
+/* `mono_us` is the steady clock at this moment, which may be long after the input. */
 MhAction *
-mh_core_pop (MhCore *core);
+mh_core_pop (MhCore *core, gint64 mono_us);
 gint64
 mh_core_next_wake (const MhCore *core); /* steady time of the next tick that is needed */
 bool
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -10,9 +10,10 @@
 #define DIRECTS_PER_CORE_S 250
 /* Silence, notices and what was not said at once are looked after so often. */
 #define SWEEP_US (MH_SECOND_US / 5)
-/* An unanswered command is fenced by a new epoch after this. */
-#define LOOSE_US (6 * MH_SECOND_US)
-#define REMEMBER_GONE_US (90 * MH_SECOND_US)
+/* Direct starts that a late copy might repeat, before they are fenced without a clear waiting. */
+#define LOOSE_KEPT 64u
+/* Copies of a machine's reports, and lists that name it, may come so long after its end. */
+#define REMEMBER_US (900 * MH_SECOND_US)
 /* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
 #define FAULTY_ERRORS 2u
 
@@ -35,6 +36,19 @@
   g_free (data);
 }
 
+typedef struct
+{
+  char *name;
+  gint64 gone_us;
+} Returned;
+
+static void
+returned_free (gpointer data)
+{
+  g_free (((Returned *)data)->name);
+  g_free (data);
+}
+
 void
 mh_fleet_free_machine (gpointer data)
 {
@@ -116,6 +130,8 @@
         g_free (mh_machine_attempt (m, i));
     }
   g_hash_table_remove_all (core->machines);
+  g_hash_table_remove_all (core->returned);
+  g_queue_clear_full (&core->returned_order, returned_free);
   g_ptr_array_set_size (core->due, 0);
   mh_silence_clear (core);
   core->replicas = 0;
@@ -149,10 +165,16 @@
   mh_bucket_init (&core->direct_bucket, rate, MAX (1, rate / 4), core->now.mono_us);
 }
 
+gint64
+mh_fleet_silence_us (const MhCore *core, gint64 heard_us)
+{
+  return core->now.mono_us - MAX (heard_us, core->awake_us);
+}
+
 bool
 mh_fleet_silent (const MhCore *core, const MhMachine *m, gint64 for_us)
 {
-  return core->now.mono_us - m->heard_us > for_us;
+  return mh_fleet_silence_us (core, m->heard_us) > for_us;
 }
 
 /* ---- images ---- */
@@ -390,29 +412,85 @@
   job_check_over (core, job);
 }
 
+bool
+mh_fleet_returned (const MhCore *core, const char *name)
+{
+  return g_hash_table_contains (core->returned, name);
+}
+
 void
 mh_fleet_gone (MhCore *core, MhMachine *m)
 {
-  m->gone = true;
-  m->gone_us = core->now.mono_us;
+  Returned *r = g_new0 (Returned, 1);
+  r->name = g_strdup (m->name);
+  r->gone_us = core->now.mono_us;
+  g_queue_push_tail (&core->returned_order, r);
+  g_hash_table_add (core->returned, r->name);
   while (m->attempts->len)
     mh_fleet_attempt_over (core, g_ptr_array_index (m->attempts, m->attempts->len - 1), false);
-  g_array_set_size (m->loose, 0);
-  g_array_set_size (m->strays, 0);
+  g_ptr_array_remove_fast (core->due, m);
+  g_hash_table_remove (core->machines, m->name);
+}
+
+static void
+forget_returned (MhCore *core)
+{
+  for (Returned *r; (r = g_queue_peek_head (&core->returned_order))
+                    && core->now.mono_us - r->gone_us > REMEMBER_US;)
+    {
+      g_hash_table_remove (core->returned, r->name);
+      returned_free (g_queue_pop_head (&core->returned_order));
+    }
 }
 
 /* ---- reports ---- */
 
-static bool
-is_loose (const MhMachine *m, const char *job, guint index, guint64 attempt)
+static MhLoose *
+find_loose (const MhMachine *m, const char *job, guint index, guint64 attempt)
 {
   for (guint i = 0; i < m->loose->len; i++)
     {
-      const MhLoose *l = &g_array_index (m->loose, MhLoose, i);
+      MhLoose *l = &g_array_index (m->loose, MhLoose, i);
       if (l->index == index && l->attempt == attempt && strcmp (l->job, job) == 0)
-        return true;
+        return l;
     }
-  return false;
+  return NULL;
+}
+
+/* What the machine is to be told: the leadership's epochs begin with own_epoch. */
+static guint64
+epoch_for (const MhCore *core, const MhMachine *m)
+{
+  return core->leader.own_epoch + (m ? m->fence : 0);
+}
+
+/* A direct start may have been lost, or a clear waits until no late copy of it can run it again:
+   the worker gets a higher epoch. It tells of that by one more report, so that clears are gathered.
+ */
+static void
+fence (MhCore *core, MhMachine *m)
+{
+  bool wanted
+      = m->loose->len > LOOSE_KEPT
+        || (m->held_us && core->now.mono_us - m->held_us > core->settings->worker_lease_us / 2);
+  bool helps = false;
+  for (guint i = 0; i < m->loose->len; i++)
+    {
+      const MhLoose *l = &g_array_index (m->loose, MhLoose, i);
+      wanted |= l->lost;
+      helps |= l->epoch == epoch_for (core, m);
+    }
+  if (!wanted || !helps)
+    return;
+  if (m->fence + 2 >= MH_EPOCHS_EACH)
+    {
+      mh_leader_lost (core, "the epochs of this leadership are used up");
+      return;
+    }
+  m->fence++;
+  m->held_us = 0;
+  mh_debug (core, "machine %s: epoch raised to %" G_GUINT64_FORMAT " to fence direct starts",
+            m->name, epoch_for (core, m));
 }
 
 /* A late command is carried out only under its own tenure and an epoch that the worker has not
@@ -436,15 +514,15 @@
 {
   const MhMachine *m = a->machine;
   if (a->loaded)
-    return m->epoch >= core->leader.load_epoch;
+    return m->epoch >= core->leader.own_epoch;
   if (!a->ordered)
     return false;
   if (a->order_tenure < m->tenure)
     return true;
   if (!a->seen && !a->kill)
     return false; /* the start is simply sent again */
-  return m->direct == 0 && !is_loose (m, a->job->spec->id, a->index, a->attempt)
-         && (a->hello_tick == 0 || m->tick > a->hello_tick);
+  const MhLoose *l = find_loose (m, a->job->spec->id, a->index, a->attempt);
+  return (l == NULL || l->answered) && (a->hello_tick == 0 || m->tick > a->hello_tick);
 }
 
 static void
@@ -464,7 +542,7 @@
   if (m->error_job == NULL)
     m->error_job = g_strdup (job->spec->id);
   if (m->errors >= FAULTY_ERRORS && (other || job->errors <= m->errors))
-    mh_scale_release (core, m, "fails every task");
+    mh_release_machine (core, m, "fails every task");
   else
     m->hold_us = core->now.mono_us + 5 * MH_SECOND_US;
 }
@@ -608,10 +686,15 @@
 bool
 mh_fleet_answered (MhCore *core, MhMachine *m, const MhReport *r)
 {
-  bool is_newer = newer (m, r);
-  if (is_newer)
-    observe (core, m, r, false);
-  return is_newer;
+  if (strcmp (r->machine, m->name) != 0 || !newer (m, r))
+    return false;
+  if (r->epoch > epoch_for (core, m))
+    {
+      mh_leader_lost (core, "a worker has seen a higher epoch");
+      return false;
+    }
+  observe (core, m, r, false);
+  return true;
 }
 
 /* ---- orders ---- */
@@ -665,6 +748,7 @@
 static void
 stray_orders (MhCore *core, MhMachine *m, GArray *orders)
 {
+  bool held = false;
   for (guint i = 0; i < m->strays->len; i++)
     {
       const MhStray *s = &g_array_index (m->strays, MhStray, i);
@@ -675,10 +759,15 @@
           add_order (orders, MH_ORDER_STOP, s->job, s->index, s->attempt, 0);
           continue;
         }
-      /* Once cleared the attempt is forgotten there, and a start that is still on its way would run
-         it again; and a result must not be cleared before it is on record. */
-      if (m->direct || is_loose (m, s->job, s->index, s->attempt))
-        continue;
+      /* Once cleared the attempt is forgotten there, and a start that is still on its way, or a
+         late copy of one that was carried out, would run it again; and a result must not be cleared
+         before it is on record. */
+      const MhLoose *loose = find_loose (m, s->job, s->index, s->attempt);
+      if (loose)
+        {
+          held |= loose->epoch == epoch_for (core, m); /* not fenced yet */
+          continue;
+        }
       MhJob *job = g_hash_table_lookup (core->jobs, s->job);
       if (job && s->index < job->spec->tasks && job->tasks[s->index].state == MH_TASK_DONE)
         {
@@ -688,13 +777,13 @@
         }
       add_order (orders, MH_ORDER_FORGET, s->job, s->index, s->attempt, 0);
     }
+  m->held_us = !held ? 0 : m->held_us ? m->held_us : core->now.mono_us;
 }
 
 typedef struct
 {
   char *machine;
   GArray *orders;
-  guint64 epoch, tenure;
 } Direct;
 
 static void
@@ -725,45 +814,33 @@
   Direct *d = data;
   MhMachine *m = mh_fleet_machine (core, d->machine);
   g_autoptr (MhReport) r = status == 200 || status == 409 ? mh_wire_read_report (body) : NULL;
-  if (m == NULL || m->gone)
+  if (m == NULL)
     return;
   m->direct--;
   for (guint i = 0; i < d->orders->len; i++)
     {
       const MhOrder *o = &g_array_index (d->orders, MhOrder, i);
       MhAttempt *a = find_attempt (m, o);
+      MhLoose *l = find_loose (m, o->job, o->index, o->attempt);
       if (o->kind == MH_ORDER_STOP)
         {
           if (a && status != 200)
             a->killed_us = 0;
+          continue;
         }
-      else if (status == 409 || status == 400)
-        {
-          if (a && !a->seen && a->hello_tick == 0)
-            a->ordered = false; /* nothing was carried out */
-        }
-      else if (status != 200)
+      bool refused = status == 409 || status == 400;
+      if (refused && a && !a->seen && a->hello_tick == 0)
+        a->ordered = false; /* nothing was carried out, nor will a copy be */
+      if (l && refused)
+        g_array_remove_index_fast (m->loose, (guint)(l - (MhLoose *)m->loose->data));
+      else if (l)
         {
-          MhLoose l = { .job = g_strdup (o->job),
-                        .index = o->index,
-                        .attempt = o->attempt,
-                        .epoch = d->epoch,
-                        .tenure = d->tenure,
-                        .since_us = core->now.mono_us };
-          g_array_append_val (m->loose, l);
+          l->answered = status == 200;
+          l->lost = !l->answered;
         }
     }
-  if (r == NULL)
-    {
-      settle_loose (m);
-      return;
-    }
-  if (strcmp (r->machine, m->name) != 0 || !newer (m, r))
-    return;
-  if (r->epoch > core->leader.own_epoch)
-    mh_leader_lost (core, "a worker has seen a higher epoch");
-  else
-    observe (core, m, r, false);
+  if (r)
+    mh_fleet_answered (core, m, r);
 }
 
 typedef enum
@@ -790,16 +867,24 @@
   return found;
 }
 
+static bool
+anything_lost (const MhMachine *m)
+{
+  for (guint i = 0; i < m->loose->len; i++)
+    if (g_array_index (m->loose, MhLoose, i).lost)
+      return true;
+  return false;
+}
+
 /* `epoch_only`: no order, but the worker learns of this leader, and so does a former one that it
    still reports to. */
 void
 mh_fleet_send (MhCore *core, MhMachine *m, bool epoch_only)
 {
-  /* One at a time, and none to a machine that may not be there: each unanswered command costs an
-     epoch. Its next report will carry them. */
+  /* One at a time, and none to a machine that may not be there. Its next report will carry them. */
   if (!core->settings->direct || m->direct || !m->reported || m->releasing || m->endpoint == NULL
-      || m->loose->len || m->ignored || mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
-      || m->epoch > core->leader.own_epoch || core->leader.bumping)
+      || m->ignored || mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
+      || anything_lost (m))
     return;
   Orders unsaid = unsaid_orders (m);
   if (!epoch_only
@@ -813,10 +898,18 @@
   Direct *d = g_new0 (Direct, 1);
   d->machine = g_strdup (m->name);
   d->orders = g_array_ref (orders);
-  d->epoch = core->leader.own_epoch;
-  d->tenure = m->tenure;
+  guint64 epoch = epoch_for (core, m);
+  for (guint i = 0; i < orders->len; i++)
+    {
+      const MhOrder *o = &g_array_index (orders, MhOrder, i);
+      MhLoose l = { .index = o->index, .attempt = o->attempt, .epoch = epoch, .tenure = m->tenure };
+      if (o->kind != MH_ORDER_START)
+        continue;
+      l.job = g_strdup (o->job);
+      g_array_append_val (m->loose, l);
+    }
   m->direct++;
-  mh_core_call (core, MH_RANK_WORK, mh_wire_commands (m->endpoint, d->epoch, d->tenure, orders), 0,
+  mh_core_call (core, MH_RANK_WORK, mh_wire_commands (m->endpoint, epoch, m->tenure, orders), 0,
                 DIRECT_TIMEOUT_US, direct_reply, d, direct_free);
 }
 
@@ -844,6 +937,10 @@
   MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_HELLO, id);
   a->status = status;
   a->body = body;
+  /* Without orders it may be given for longer, but nothing is gained by telling those apart: a
+     process that stood still for so long is asked again. */
+  if (status == 200 && mh_leader_valid (core))
+    a->until_us = core->leader.valid_until_us;
 }
 
 /* A report of unknown age: at most it tells where to ask. */
@@ -893,7 +990,16 @@
 void
 mh_fleet_hello (MhCore *core, guint64 id, const MhReport *r)
 {
-  if (r->epoch > core->leader.own_epoch)
+  MhMachine *m = mh_fleet_machine (core, r->machine);
+  /* One that this leadership knew is known no more when it has been given back. */
+  bool was_ours = m == NULL && r->epoch > core->leader.own_epoch
+                  && r->epoch < core->leader.own_epoch + MH_EPOCHS_EACH;
+  if (core->leader.phase == MH_PHASE_LEAD && (was_ours || mh_fleet_returned (core, r->machine)))
+    {
+      answer_hello (core, id, 503, NULL);
+      return;
+    }
+  if (r->epoch > epoch_for (core, m))
     {
       mh_leader_lost (core, "a worker has seen a higher epoch");
       answer_hello (core, id, 421, mh_wire_write_redirect (NULL));
@@ -906,19 +1012,13 @@
       return;
     }
   g_autoptr (GArray) orders = mh_orders_new ();
-  MhMachine *m = mh_fleet_machine (core, r->machine);
   if (core->leader.phase == MH_PHASE_LEAD)
     {
-      if (m && m->gone)
-        {
-          answer_hello (core, id, 503, NULL);
-          return;
-        }
       /* Copies of reports come late, also of machines that are long gone and to a leader that has
          heard nothing newer. Only one with an epoch of this leadership was surely sent in it; by
          any other the worker is merely answered, and it reports again when it has seen the epoch.
        */
-      if (r->epoch < core->leader.load_epoch)
+      if (r->epoch < core->leader.own_epoch)
         hint (core, m, r);
       else
         {
@@ -936,13 +1036,13 @@
                   attempt_orders (core, m, orders, false);
                   stray_orders (core, m, orders);
                   m->told = true;
-                  m->told_epoch = core->leader.own_epoch;
+                  m->told_epoch = epoch_for (core, m);
                   m->told_tick = r->tick;
                 }
             }
         }
     }
-  answer_hello (core, id, 200, mh_wire_write_orders (core->leader.own_epoch, NULL, orders));
+  answer_hello (core, id, 200, mh_wire_write_orders (epoch_for (core, m), NULL, orders));
 }
 
 static void
@@ -969,14 +1069,8 @@
   mh_silence_check (core, m);
   if (m->notice_until_us >= 0)
     drain_by_notice (core, m);
+  fence (core, m);
   mh_fleet_send (core, m, false);
-  for (guint i = 0; i < m->loose->len; i++)
-    if (core->now.mono_us - g_array_index (m->loose, MhLoose, i).since_us > LOOSE_US && !m->ignored
-        && !mh_fleet_silent (core, m, 2 * core->settings->report_us))
-      {
-        mh_leader_bump (core);
-        break;
-      }
 }
 
 /* What has just changed is answered at once; all machines are looked through now and then only, so
@@ -989,7 +1083,7 @@
     {
       MhMachine *m = g_ptr_array_index (core->due, i);
       m->due = false;
-      if (!m->gone && !m->releasing)
+      if (!m->releasing)
         mh_fleet_send (core, m, false);
     }
   g_ptr_array_set_size (core->due, 0);
@@ -1006,14 +1100,10 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       MhMachine *m = value;
-      if (m->gone)
-        {
-          if (now - m->gone_us > REMEMBER_GONE_US && !m->due)
-            g_hash_table_iter_remove (&it);
-        }
-      else if (!m->releasing)
+      if (!m->releasing)
         look_after (core, m);
     }
+  forget_returned (core);
   mh_silence_hand_over (core);
   mh_core_wake_at (core, now + SWEEP_US);
 }
--- a/src/leader.c
+++ b/src/leader.c
@@ -193,7 +193,6 @@
   core->leader.since_us = core->now.mono_us;
   core->leader.busy = false;
   core->leader.phase = MH_PHASE_LOAD;
-  core->leader.load_epoch = core->leader.own_epoch;
   core->leader.renew_us = core->now.mono_us;
   core->scale.rentals = 0;
   mh_info (core, "leading with epoch %" G_GUINT64_FORMAT "; loading records",
@@ -242,23 +241,23 @@
 }
 
 static void
-put_leader (MhCore *core, guint64 epoch, guint64 key_stamp, guint64 epoch_stamp, bool check_epoch,
-            MhReplyFunc reply)
+take (MhCore *core, guint64 epoch_stamp)
 {
-  MhCondition conditions[] = { { "leader", key_stamp }, { "epoch", epoch_stamp } };
+  MhCondition conditions[] = { { "leader", core->leader.key_stamp }, { "epoch", epoch_stamp } };
   g_autoptr (MhValue) leader
-      = mh_record_write_leader (core->settings->node, epoch, core->leader.claim);
-  g_autoptr (MhValue) number = mh_record_write_epoch (epoch);
-  MhChange changes[] = { { "leader", leader, core->leader.claim }, { "epoch", number, 0 } };
-  mh_core_call (core, MH_RANK_LEASE,
-                mh_wire_txn (conditions, check_epoch ? 2 : 1, changes, G_N_ELEMENTS (changes)), 2,
-                CALL_TIMEOUT_US, reply, NULL, NULL);
+      = mh_record_write_leader (core->settings->node, core->leader.own_epoch, core->leader.claim);
+  g_autoptr (MhValue) last = mh_record_write_epoch (core->leader.own_epoch + MH_EPOCHS_EACH - 1);
+  MhChange changes[] = { { "leader", leader, core->leader.claim }, { "epoch", last, 0 } };
+  mh_core_call (
+      core, MH_RANK_LEASE,
+      mh_wire_txn (conditions, G_N_ELEMENTS (conditions), changes, G_N_ELEMENTS (changes)), 2,
+      CALL_TIMEOUT_US, take_reply, NULL, NULL);
 }
 
 static void
 epoch_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  guint64 epoch = 0, stamp = 0;
+  guint64 epoch = 0, stamp = 0; /* the last one of all earlier leaders */
   (void)data;
   if (status == 200)
     {
@@ -275,7 +274,7 @@
       return;
     }
   core->leader.own_epoch = epoch + 1;
-  put_leader (core, epoch + 1, core->leader.key_stamp, stamp, true, take_reply);
+  take (core, stamp);
 }
 
 typedef struct
@@ -386,9 +385,10 @@
   mh_store_clear (core);
   mh_fleet_clear (core);
   mh_scale_clear (core);
+  mh_release_clear (core);
   g_hash_table_remove_all (core->jobs);
   core->leader.phase = MH_PHASE_FOLLOW;
-  core->leader.renewing = core->leader.bumping = false;
+  core->leader.renewing = false;
   core->leader.valid_until_us = 0;
   core->leader.own_epoch = 0;
   if (core->leader.hands_over)
@@ -436,34 +436,13 @@
     {
       const MhMachine *m = value;
       /* One that gives no answer either will not report. */
-      if (!m->gone && !m->releasing && !m->reported && !mh_silence_unreachable (m)
+      if (!m->releasing && !m->reported && !mh_silence_unreachable (m)
           && (m->running || m->attempts->len))
         return false;
     }
   return true;
 }
 
-static void
-bump_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
-{
-  guint64 stamp;
-  (void)data;
-  if (status == 200 && mh_wire_read_ledger (body, &stamp))
-    {
-      core->leader.own_epoch++;
-      core->leader.own_stamp = stamp;
-      core->leader.bumping = false;
-      mh_info (core, "epoch raised to %" G_GUINT64_FORMAT " to fence unanswered commands",
-               core->leader.own_epoch);
-    }
-  else if (status == 429 || status == 503)
-    core->leader.bumping = false;
-  else
-    /* Unanswered: which of the two epochs holds is unknown, so the way back leads through a
-       reload. */
-    mh_leader_lost (core, "raising the epoch was not answered");
-}
-
 /* A node that is cut off from the state service learns here who leads: it passes users and workers
    on, and a former leader stops keeping the workers to itself. */
 void
@@ -490,16 +469,6 @@
   core->leader.usable_us = core->now.mono_us;
 }
 
-bool
-mh_leader_bump (MhCore *core)
-{
-  if (core->leader.bumping || core->now.mono_us < core->leader.bumped_us + 6 * MH_SECOND_US)
-    return false;
-  core->leader.bumping = true; /* no new write starts */
-  core->leader.bumped_us = core->now.mono_us;
-  return true;
-}
-
 void
 mh_leader_step (MhCore *core)
 {
@@ -529,13 +498,6 @@
       refuse_waiters (core);
       return;
     }
-  if (core->leader.bumping && mh_store_idle (core) && !core->leader.bump_sent)
-    {
-      core->leader.bump_sent = true;
-      put_leader (core, core->leader.own_epoch + 1, core->leader.own_stamp, 0, false, bump_reply);
-    }
-  if (!core->leader.bumping)
-    core->leader.bump_sent = false;
   if (now >= core->leader.told_us + TELL_US)
     {
       core->leader.told_us = now;
--- a/src/place.c
+++ b/src/place.c
@@ -146,7 +146,7 @@
 static bool
 live (const MhMachine *m)
 {
-  return m->reported && !m->gone && !m->releasing && m->zone && m->type;
+  return m->reported && !m->releasing && m->zone && m->type;
 }
 
 static bool
@@ -795,7 +795,7 @@
 add_coming (Pass *pass, const MhMachine *m)
 {
   gint64 now = pass->core->now.mono_us;
-  if (m->reported || m->gone || m->releasing || m->type == NULL || m->zone == NULL
+  if (m->reported || m->releasing || m->type == NULL || m->zone == NULL
       || now - m->rented_us > 2 * m->type->boot_us)
     return;
   Coming c = { .machine = m,
@@ -842,7 +842,7 @@
                 + (core->place_urgent   ? URGENT_PASS_US
                    : core->place_wanted ? PASS_US
                                         : IDLE_PASS_US);
-  if (now < next || core->leader.bumping || core->types == NULL)
+  if (now < next || core->types == NULL)
     {
       mh_core_wake_at (core, MAX (next, now + 5000));
       return;
--- a/src/record.c
+++ b/src/record.c
@@ -1,6 +1,6 @@
-/* The stored form of jobs and of leadership. Keys: leader, epoch, j/ID (job and its first tasks),
-   t/ID/CHUNK (further tasks), f/ID (the final state, kept for ever). Short names, since values are
-   limited. */
+/* The stored form of jobs, of leadership and of machines that are being given back. Keys: leader,
+   epoch, j/ID (job and its first tasks), t/ID/CHUNK (further tasks), f/ID (the final state, kept
+   for ever), r/EPOCH/N (names of machines). Short names, since values are limited. */
 #include "core-private.h"
 
 #include <string.h>
@@ -95,6 +95,21 @@
   return m;
 }
 
+MhValue *
+mh_record_write_release (char **machines)
+{
+  MhValue *m = mh_value_map ();
+  mh_value_set_names (m, "m", machines);
+  return m;
+}
+
+char **
+mh_record_read_release (const MhValue *v)
+{
+  char **names = NULL;
+  return mh_value_get_names (v, "m", &names) ? names : NULL;
+}
+
 bool
 mh_record_read_epoch (const MhValue *v, guint64 *epoch)
 {
--- /dev/null
+++ b/src/release.c
@@ -0,0 +1,194 @@
+/* Giving machines back. What is about to be given back is on record first: a new leader neither
+   uses such a machine, which a late request of an earlier one may still take away, nor forgets it.
+ */
+#include "core-private.h"
+
+#include <string.h>
+
+#define STATE_TIMEOUT_US (MH_SECOND_US)
+#define CLOUD_TIMEOUT_US (4 * MH_SECOND_US)
+/* Those that are found idle or silent together go in one call. */
+#define GATHER_US (MH_SECOND_US / 4)
+#define RELEASE_MOST 100u
+
+/* Machines that are given back together. */
+typedef struct
+{
+  char *key;
+  char **names;
+} Parcel;
+
+static void
+parcel_clear (gpointer data)
+{
+  Parcel *p = data;
+  g_free (p->key);
+  g_strfreev (p->names);
+}
+
+static void
+parcel_unref (gpointer data)
+{
+  g_rc_box_release_full (data, parcel_clear);
+}
+
+void
+mh_release_clear (MhCore *core)
+{
+  g_queue_clear_full (&core->release.wanted, g_free);
+  core->release.next_us = 0;
+  core->release.parcels = 0;
+}
+
+void
+mh_release_machine (MhCore *core, MhMachine *m, const char *why)
+{
+  if (m->releasing)
+    return;
+  mh_info (core, "machine %s: given back: %s", m->name, why);
+  m->releasing = true;
+  g_queue_push_tail (&core->release.wanted, g_strdup (m->name));
+}
+
+/* ---- the call ---- */
+
+static void
+call (MhCore *core, Parcel *p);
+
+static void
+call_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  Parcel *p = data;
+  (void)body;
+  if (status != 200)
+    {
+      core->cloud_pause_us = core->now.mono_us + 500000 + (gint64)(core->now.jitter * 500000);
+      call (core, p);
+      return;
+    }
+  for (char **name = p->names; *name; name++)
+    {
+      MhMachine *m = mh_fleet_machine (core, *name);
+      mh_debug (core, "machine %s: confirmed gone", *name);
+      if (m)
+        mh_fleet_gone (core, m);
+    }
+  mh_store_drop (core, p->key);
+}
+
+static void
+call (MhCore *core, Parcel *p)
+{
+  mh_core_call (core, MH_RANK_RULES, mh_wire_release (p->names), 0, CLOUD_TIMEOUT_US, call_reply,
+                g_rc_box_acquire (p), parcel_unref);
+}
+
+/* ---- the record ---- */
+
+static void
+write_down (MhCore *core, Parcel *p);
+
+static void
+write_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  Parcel *p = data;
+  g_auto (GStrv) failed = status == 409 ? mh_wire_read_failed (body) : NULL;
+  if (failed && g_strv_contains ((const char *const *)failed, "leader"))
+    mh_leader_lost (core, "another controller leads");
+  /* Refused because it is there: a copy that was not answered has been carried out. */
+  else if (status == 200 || status == 409)
+    call (core, p);
+  else if (status == 400)
+    mh_leader_lost (core, "the state service calls a record malformed");
+  else
+    {
+      core->state_pause_us = core->now.mono_us + 100000 + (gint64)(core->now.jitter * 150000);
+      write_down (core, p);
+    }
+}
+
+static void
+write_down (MhCore *core, Parcel *p)
+{
+  MhCondition conditions[] = { { "leader", core->leader.own_stamp }, { p->key, 0 } };
+  g_autoptr (MhValue) value = mh_record_write_release (p->names);
+  MhChange change = { .key = p->key, .value = value };
+  mh_core_call (core, MH_RANK_RULES,
+                mh_wire_txn (conditions, G_N_ELEMENTS (conditions), &change, 1), 1,
+                STATE_TIMEOUT_US, write_reply, g_rc_box_acquire (p), parcel_unref);
+}
+
+/* What an earlier leader wrote down. */
+void
+mh_release_load (MhCore *core, const MhEntry *e)
+{
+  Parcel *p = g_rc_box_new0 (Parcel);
+  p->key = g_strdup (e->key);
+  p->names = mh_record_read_release (e->value);
+  for (char **name = p->names; name && *name; name++)
+    {
+      MhMachine *m = mh_fleet_machine (core, *name);
+      if (m == NULL)
+        m = mh_fleet_add (core, *name, NULL, NULL, false);
+      m->releasing = true;
+    }
+  if (p->names)
+    call (core, p);
+  else
+    mh_core_log (core, G_LOG_LEVEL_CRITICAL, "record %s cannot be read", e->key);
+  parcel_unref (p);
+}
+
+/* ---- idle machines ---- */
+
+static void
+return_idle (MhCore *core)
+{
+  gint64 now = core->now.mono_us;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, core->machines);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      MhMachine *m = value;
+      if (!m->reported || m->releasing || m->attempts->len)
+        continue;
+      if (m->notice_until_us >= 0 || m->draining)
+        mh_release_machine (core, m, "empty, as was wanted");
+      else if (now - m->idle_us > core->settings->idle_us && now - m->rented_us > MH_LEAST_PAID_US)
+        mh_release_machine (core, m, "idle");
+    }
+}
+
+void
+mh_release_step (MhCore *core)
+{
+  if (core->now.mono_us < core->release.next_us)
+    {
+      if (core->release.wanted.length)
+        mh_core_wake_at (core, core->release.next_us);
+      return;
+    }
+  core->release.next_us = core->now.mono_us + GATHER_US;
+  return_idle (core);
+  if (core->release.wanted.length == 0)
+    return;
+  g_autoptr (GStrvBuilder) names = g_strv_builder_new ();
+  gsize bytes = 0;
+  for (guint n = 0; n < RELEASE_MOST && core->release.wanted.length; n++)
+    {
+      const char *name = g_queue_peek_head (&core->release.wanted);
+      bytes += strlen (name) + 4;
+      if (n > 0 && bytes > core->settings->value_bytes / 2)
+        break;
+      g_strv_builder_add (names, name);
+      g_free (g_queue_pop_head (&core->release.wanted));
+    }
+  Parcel *p = g_rc_box_new0 (Parcel);
+  /* The epoch is this leadership's alone. */
+  p->key = g_strdup_printf ("%s%" G_GUINT64_FORMAT "/%u", MH_RECORD_RELEASES,
+                            core->leader.own_epoch, ++core->release.parcels);
+  p->names = g_strv_builder_end (names);
+  write_down (core, p);
+  parcel_unref (p);
+}
--- a/src/scale.c
+++ b/src/scale.c
@@ -1,4 +1,4 @@
-/* Renting and giving back machines. */
+/* Renting machines, and emptying those that do little. */
 #include "core-private.h"
 
 #include <string.h>
@@ -8,8 +8,6 @@
 #define LIST_US (5 * MH_SECOND_US)
 #define STEP_US (MH_SECOND_US / 2)
 #define REFUSED_US (15 * MH_SECOND_US)
-/* A machine that is deleted costs at least this. */
-#define LEAST_PAID_US (60 * MH_SECOND_US)
 #define TELL_US (10 * MH_SECOND_US)
 /* A machine is emptied when no more of it is in use, and the others would not be fuller than this.
    Replicas younger than this are left alone: a start that is undone at once is none. */
@@ -19,30 +17,15 @@
 #define EMPTIED_LOOKED_AT 8u       /* in one step */
 #define SETTLED_US (35 * MH_SECOND_US)
 #define RENT_MOST 50u
-#define RELEASE_MOST 100u
-#define RELEASE_US (MH_SECOND_US / 4)
 /* Spot machines are taken back now and then, with what they run: their price counts as this much
    more. */
 #define SPOT_RISK 1.3
 
-void
-mh_scale_release (MhCore *core, MhMachine *m, const char *why)
-{
-  if (m->releasing || m->gone)
-    return;
-  mh_info (core, "machine %s: given back: %s", m->name, why);
-  m->releasing = true;
-  m->release_sent = false;
-  core->scale.releases_wanted = true;
-}
-
 void
 mh_scale_clear (MhCore *core)
 {
   core->scale.types_busy = core->scale.list_busy = core->scale.renting = false;
   core->scale.listed = false;
-  core->scale.releases_wanted = false;
-  core->scale.release_us = 0;
   core->scale.types_us = core->scale.list_us = 0;
   g_hash_table_remove_all (core->scale.refused);
 }
@@ -75,7 +58,7 @@
 listed (MhCore *core, const MhListedMachine *l)
 {
   MhMachine *m = mh_fleet_machine (core, l->name);
-  if (m && (m->gone || m->releasing))
+  if (mh_fleet_returned (core, l->name) || (m && m->releasing))
     return; /* lists lag */
   if (m == NULL || m->type_name == NULL)
     {
@@ -94,7 +77,7 @@
     }
   m->running = l->state == MH_LISTED_RUNNING;
   if (l->state == MH_LISTED_FAILED)
-    mh_scale_release (core, m, "failed");
+    mh_release_machine (core, m, "failed");
 }
 
 static void
@@ -126,85 +109,6 @@
                 NULL);
 }
 
-/* ---- giving back ---- */
-
-static void
-release_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
-{
-  char **names = data;
-  (void)body;
-  for (; *names; names++)
-    {
-      MhMachine *m = mh_fleet_machine (core, *names);
-      if (m == NULL || m->gone)
-        continue;
-      if (status == 200)
-        {
-          mh_debug (core, "machine %s: confirmed gone", m->name);
-          mh_fleet_gone (core, m);
-        }
-      else
-        m->release_sent = false;
-    }
-  if (status != 200)
-    {
-      core->scale.releases_wanted = true;
-      core->cloud_pause_us = core->now.mono_us + 500000 + (gint64)(core->now.jitter * 500000);
-    }
-}
-
-static void
-send_releases (MhCore *core)
-{
-  /* Those that are found idle together go in one call. */
-  if (!core->scale.releases_wanted || core->now.mono_us < core->scale.release_us)
-    {
-      if (core->scale.releases_wanted)
-        mh_core_wake_at (core, core->scale.release_us);
-      return;
-    }
-  core->scale.release_us = core->now.mono_us + RELEASE_US;
-  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, core->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value) && names->len < RELEASE_MOST)
-    {
-      MhMachine *m = value;
-      if (m->releasing && !m->release_sent && !m->gone)
-        {
-          m->release_sent = true;
-          g_ptr_array_add (names, g_strdup (m->name));
-        }
-    }
-  core->scale.releases_wanted = names->len == RELEASE_MOST;
-  if (names->len == 0)
-    return;
-  g_ptr_array_add (names, NULL);
-  char **list = (char **)g_ptr_array_free (g_steal_pointer (&names), FALSE);
-  mh_core_call (core, MH_RANK_RULES, mh_wire_release (list), 0, CLOUD_TIMEOUT_US, release_reply,
-                list, (GDestroyNotify)g_strfreev);
-}
-
-static void
-return_idle (MhCore *core)
-{
-  gint64 now = core->now.mono_us;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, core->machines);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      MhMachine *m = value;
-      if (!m->reported || m->gone || m->releasing || m->attempts->len)
-        continue;
-      if (m->notice_until_us >= 0 || m->draining)
-        mh_scale_release (core, m, "empty, as was wanted");
-      else if (now - m->idle_us > core->settings->idle_us && now - m->rented_us > LEAST_PAID_US)
-        mh_scale_release (core, m, "idle");
-    }
-}
-
 /* ---- emptying machines that do little ---- */
 
 static guint
@@ -225,7 +129,7 @@
 static bool
 steady (const MhMachine *m)
 {
-  return m->reported && !m->gone && !m->releasing && m->type && m->notice_until_us < 0;
+  return m->reported && !m->releasing && m->type && m->notice_until_us < 0;
 }
 
 /* Room on a machine: one that stays, one that is coming, or one that would have to be rented. */
@@ -405,7 +309,7 @@
           empty_machine (core, m);
         }
       else if (m->replicas > 0 && m->used_cpus <= m->type->cpus * EMPTY_ENOUGH
-               && core->now.mono_us - m->rented_us >= LEAST_PAID_US)
+               && core->now.mono_us - m->rented_us >= MH_LEAST_PAID_US)
         {
           Wasteful w
               = { .machine = m, .waste = mh_fleet_hourly (m) * (1 - m->used_cpus / m->type->cpus) };
@@ -490,7 +394,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const MhMachine *m = value;
-      if (!m->gone && !m->releasing && m->reported && m->zone)
+      if (!m->releasing && m->reported && m->zone)
         (*zone_load (plan, m->zone))++;
     }
   for (guint i = 0; i < plan->rooms->len; i++)
@@ -581,7 +485,7 @@
     mh_info (core, "rented %u of %u %s%s in %s", got, r->count, r->spot ? "spot " : "", r->type,
              r->zone);
   for (guint i = 0; i < got; i++)
-    if (mh_fleet_machine (core, names[i]) == NULL)
+    if (mh_fleet_machine (core, names[i]) == NULL && !mh_fleet_returned (core, names[i]))
       mh_fleet_add (core, names[i], r->type, r->zone, r->spot);
   if ((status == 200 && names) || status == 503 || status == 400)
     {
@@ -627,7 +531,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const MhMachine *m = value;
-      if (m->reported || m->gone || m->releasing || m->type == NULL || m->zone == NULL)
+      if (m->reported || m->releasing || m->type == NULL || m->zone == NULL)
         continue;
       if (core->now.mono_us - m->rented_us > 2 * m->type->boot_us + 5 * MH_SECOND_US)
         continue; /* perhaps never */
@@ -660,7 +564,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const MhMachine *m = value;
-      if (m->gone || m->releasing || !m->reported || m->notice_until_us >= 0)
+      if (m->releasing || !m->reported || m->notice_until_us >= 0)
         continue;
       for (guint i = 0; i < m->attempts->len; i++)
         {
@@ -835,7 +739,7 @@
     return;
   Rental *r = g_new0 (Rental, 1);
   /* The epoch is this leadership's alone, so the name was never used before. */
-  r->name = g_strdup_printf ("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, core->leader.load_epoch,
+  r->name = g_strdup_printf ("r-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, core->leader.own_epoch,
                              ++core->scale.rentals);
   r->type = g_strdup (first->type->name);
   r->zone = g_strdup (first->zone);
@@ -865,7 +769,7 @@
 may_rent (const MhCore *core)
 {
   return core->leader.rebuilt && core->types && core->scale.listed && !core->scale.renting
-         && (core->leader.load_epoch == 1
+         && (core->leader.own_epoch == 1
              || core->now.mono_us - core->leader.since_us > core->settings->list_lag_us);
 }
 
@@ -881,8 +785,6 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const MhMachine *m = value;
-      if (m->gone)
-        continue;
       leaving += m->releasing;
       an_hour += m->type ? mh_fleet_hourly (m) : 0;
       live += m->reported && !m->releasing;
@@ -918,7 +820,6 @@
     }
   if (!core->scale.list_busy && now >= core->scale.list_us)
     list_page (core, NULL);
-  send_releases (core);
   if (now < core->scale.step_us)
     return;
   core->scale.step_us = now + STEP_US;
@@ -926,5 +827,4 @@
     plan_and_rent (core);
   if (core->leader.rebuilt)
     consolidate (core, tasks_waiting (core) > 0);
-  return_idle (core);
 }
--- a/src/shell.c
+++ b/src/shell.c
@@ -14,7 +14,10 @@
 /* Of all sockets, the part that calls to workers may take: machines that are cut off hold theirs
    until the call is given up, and must hold up neither the lease nor those who connect to us. */
 #define WORKER_CONNECTIONS 12
-#define WORKER_IDLE_S 1
+/* A session keeps a timer for five minutes for each host that it has spoken to, and each turn of
+   the main loop looks at all of them: with a thousand workers that once took half of the leader's
+   time. After so many calls a session is let go, and its timers with it. */
+#define CALLS_A_SESSION 32u
 
 typedef struct Shell Shell;
 typedef struct Peer Peer;
@@ -64,7 +67,11 @@
   GRand *random;
   SoupServer *server;
   MhFront *front;
-  SoupSession *session, *worker_session;
+  SoupSession *session;
+  SoupSession *worker_session; /* replaced now and then */
+  guint session_calls;         /* of the present one */
+  guint worker_calls, most_worker_calls;
+  GQueue worker_queue; /* MhAction */
   GSocketService *peer_service;
   GSource *timer;
   GHashTable *requests; /* id -> Request */
@@ -475,6 +482,9 @@
 
 /* ---- calls ---- */
 
+static void
+send_call (Shell *shell, MhAction *a);
+
 static gboolean
 call_timeout (gpointer data)
 {
@@ -489,6 +499,7 @@
 {
   Call *call = data;
   Shell *shell = call->shell;
+  bool to_worker = SOUP_SESSION (source) != shell->session;
   g_autoptr (GError) error = NULL;
   g_autoptr (GBytes) bytes
       = soup_session_send_and_read_finish (SOUP_SESSION (source), result, &error);
@@ -512,13 +523,44 @@
   g_object_unref (call->message);
   g_object_unref (call->cancel);
   g_free (call);
+  if (to_worker)
+    {
+      shell->worker_calls--;
+      g_autoptr (MhAction) next = g_queue_pop_head (&shell->worker_queue);
+      if (next)
+        send_call (shell, next);
+    }
   pump (shell);
 }
 
+static SoupSession *
+session_new (guint connections, guint per_host, guint idle_s)
+{
+  SoupSession *session = soup_session_new_with_options (
+      "proxy-resolver", NULL, "max-conns", (int)connections, "max-conns-per-host", (int)per_host,
+      "timeout", 0, "idle-timeout", idle_s, NULL);
+  soup_session_remove_feature_by_type (session, SOUP_TYPE_CONTENT_DECODER);
+  return session;
+}
+
+static SoupSession *
+session_for_worker (Shell *shell)
+{
+  if (shell->session_calls++ >= CALLS_A_SESSION)
+    {
+      g_clear_object (&shell->worker_session); /* calls under way hold it */
+      shell->session_calls = 1;
+    }
+  if (shell->worker_session == NULL)
+    shell->worker_session = session_new (CALLS_A_SESSION, 1, 1);
+  return shell->worker_session;
+}
+
 static void
 send_call (Shell *shell, MhAction *a)
 {
   const MhRequest *r = a->request;
+  bool to_worker = r->target == MH_TARGET_WORKER;
   const char *host = r->target == MH_TARGET_STATE   ? shell->settings->state
                      : r->target == MH_TARGET_CLOUD ? shell->settings->cloud
                                                     : r->endpoint;
@@ -542,14 +584,15 @@
     }
   /* The next command to the same worker is seconds away, and until then the main loop would look at
      an idle connection each turn. */
-  if (r->target == MH_TARGET_WORKER)
+  if (to_worker)
     soup_message_headers_append (soup_message_get_request_headers (call->message), "Connection",
                                  "close");
   call->cancel = g_cancellable_new ();
   call->timeout = g_timeout_add ((guint)(a->timeout_us / 1000), call_timeout, call);
-  soup_session_send_and_read_async (
-      r->target == MH_TARGET_WORKER ? shell->worker_session : shell->session, call->message,
-      G_PRIORITY_DEFAULT, call->cancel, call_done, call);
+  shell->worker_calls += to_worker;
+  soup_session_send_and_read_async (to_worker ? session_for_worker (shell) : shell->session,
+                                    call->message, G_PRIORITY_DEFAULT, call->cancel, call_done,
+                                    call);
 }
 
 /* ---- the pump ---- */
@@ -585,12 +628,16 @@
   shell->pumping = true;
   /* What is started here belongs to the main context, also while a connection's own is turned. */
   g_main_context_push_thread_default (NULL);
-  for (MhAction *a; (a = mh_core_pop (shell->core));)
+  for (MhAction *a; (a = mh_core_pop (shell->core, g_get_monotonic_time ()));)
     {
       switch (a->kind)
         {
         case MH_ACTION_CALL:
-          send_call (shell, a);
+          if (a->request->target == MH_TARGET_WORKER
+              && shell->worker_calls >= shell->most_worker_calls)
+            g_queue_push_tail (&shell->worker_queue, g_steal_pointer (&a));
+          else
+            send_call (shell, a);
           break;
         case MH_ACTION_FORWARD:
           forward (shell, a);
@@ -784,16 +831,6 @@
     handle_hello (shell, m, body);
 }
 
-static SoupSession *
-session_new (guint connections, guint per_host, guint idle_s)
-{
-  SoupSession *session = soup_session_new_with_options (
-      "proxy-resolver", NULL, "max-conns", (int)connections, "max-conns-per-host", (int)per_host,
-      "timeout", 0, "idle-timeout", idle_s, NULL);
-  soup_session_remove_feature_by_type (session, SOUP_TYPE_CONTENT_DECODER);
-  return session;
-}
-
 bool
 mh_shell_run (const MhSettings *settings, GError **error)
 {
@@ -823,8 +860,8 @@
   g_signal_connect (shell.peer_service, "incoming", G_CALLBACK (peer_incoming), &shell);
 
   shell.session = session_new (2 * CONNECTIONS_PER_HOST, CONNECTIONS_PER_HOST, 30);
-  shell.worker_session
-      = session_new (MAX (16, settings->max_connections / WORKER_CONNECTIONS), 1, WORKER_IDLE_S);
+  shell.most_worker_calls = MAX (16, settings->max_connections / WORKER_CONNECTIONS);
+  g_queue_init (&shell.worker_queue);
 
   MhNow t = now (&shell);
   shell.core = mh_core_new (settings, &t);
--- a/src/silence.c
+++ b/src/silence.c
@@ -84,7 +84,8 @@
       MhZone *z = &g_array_index (core->zones, MhZone, i);
       gint64 report = core->settings->report_us;
       gint64 patience = MAX (report * 4 / 5, REPORTS_MISSED * report / MAX (z->machines, 1));
-      if (z->machines < LEAST_OF_ZONE || now - z->heard_us < MAX (DARK_US, patience))
+      if (z->machines < LEAST_OF_ZONE
+          || mh_fleet_silence_us (core, z->heard_us) < MAX (DARK_US, patience))
         continue;
       if (now >= z->dark_until_us)
         mh_info (core, "zone %s: %u machines, and nothing comes from any of them", z->name,
@@ -109,19 +110,20 @@
 {
   MhMachine *m = mh_fleet_machine (core, data);
   g_autoptr (MhReport) r = status == 200 ? mh_wire_read_report (body) : NULL;
-  if (m == NULL || m->gone)
+  if (m == NULL)
     return;
   m->probing = false;
   if (r == NULL || strcmp (r->machine, m->name) != 0)
     {
-      if (++m->deaf < DEAF_PROBES)
+      /* The answer may have come while this process stood still, and the time-out with it. */
+      if (m->asked_us > core->awake_us && ++m->deaf < DEAF_PROBES)
         probe (core, m);
     }
-  else if (r->epoch <= core->leader.own_epoch && mh_fleet_answered (core, m, r))
+  else if (mh_fleet_answered (core, m, r))
     {
       /* It may report to a former leader that is cut off, which learns from its next report that it
          is one; without this such workers once stayed there for half a minute. */
-      if (r->epoch < core->leader.load_epoch && mh_leader_valid (core))
+      if (r->epoch < core->leader.own_epoch && mh_leader_valid (core))
         mh_fleet_send (core, m, true);
     }
 }
@@ -161,21 +163,21 @@
   gint64 now = core->now.mono_us;
   if (m->reported)
     {
-      gint64 silent = now - m->heard_us;
+      gint64 silent = mh_fleet_silence_us (core, m->heard_us);
       /* What runs there goes on until the worker's lease is over; nothing is gained by giving it
          back before. */
       if (mh_silence_dark (core, m->zone))
         {
           if (silent > core->settings->worker_lease_us + MH_SECOND_US)
-            mh_scale_release (core, m, "silent with all of its zone");
+            mh_release_machine (core, m, "silent with all of its zone");
           return;
         }
       if (mh_silence_unreachable (m) && m->ignored >= MH_IGNORED_ANSWERS && !patience->cut_off)
-        mh_scale_release (core, m, "nothing reaches it");
+        mh_release_machine (core, m, "nothing reaches it");
       else if (silent > patience->known_us
                || (mh_silence_unreachable (m) && !patience->cut_off && others_heard (core, m)
-                   && now - m->hello_us > patience->report_us))
-        mh_scale_release (core, m, m->deaf ? "silent, and gives no answer" : "silent");
+                   && mh_fleet_silence_us (core, m->hello_us) > patience->report_us))
+        mh_release_machine (core, m, m->deaf ? "silent, and gives no answer" : "silent");
       else if (m->ignored || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
         ask (core, m);
       return;
@@ -185,17 +187,17 @@
       /* A new leader does not wait for the workers to find it, where it knows their address. */
       if (now - m->hinted_us > SECOND_REPORT_US)
         ask (core, m);
-      gint64 unseen = now - MAX (core->leader.since_us, m->known_us);
+      gint64 unseen = mh_fleet_silence_us (core, MAX (core->leader.since_us, m->known_us));
       if (unseen > patience->unseen_us
           || (mh_silence_unreachable (m) && !patience->cut_off && others_heard (core, m)
               && unseen > patience->report_us))
-        mh_scale_release (core, m, "silent since the change of leader");
+        mh_release_machine (core, m, "silent since the change of leader");
       return;
     }
   gint64 boot = m->type ? m->type->boot_us : 60 * MH_SECOND_US;
   if (now - m->rented_us > 3 * boot + 10 * MH_SECOND_US
       && now - core->leader.since_us > core->settings->report_us * 2 + 6 * MH_SECOND_US)
-    mh_scale_release (core, m, "never came up");
+    mh_release_machine (core, m, "never came up");
 }
 
 void
@@ -217,7 +219,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       MhMachine *m = value;
-      if (m->gone || m->releasing || !(m->reported || m->attempts->len))
+      if (m->releasing || !(m->reported || m->attempts->len))
         continue;
       MhZone *z = m->reported ? find_zone (core, m->zone) : NULL;
       if (z)
@@ -261,6 +263,7 @@
       machines += z->machines;
     }
   if (machines >= LEAST_OF_ZONE && core->settings->members->len > 0
-      && core->now.mono_us - heard_us > MAX (DEAF_LEADER_US, core->settings->report_us * 3 / 2))
+      && mh_fleet_silence_us (core, heard_us)
+             > MAX (DEAF_LEADER_US, core->settings->report_us * 3 / 2))
     mh_leader_hand_over (core, "no worker is heard any more");
 }
--- a/src/store.c
+++ b/src/store.c
@@ -87,10 +87,10 @@
     enqueue (core, r, urgency);
 }
 
-bool
-mh_store_idle (const MhCore *core)
+void
+mh_store_drop (MhCore *core, const char *key)
 {
-  return core->txns == 0;
+  g_queue_push_tail (&core->garbage, g_strdup (key));
 }
 
 void
@@ -460,7 +460,7 @@
           full = changes->len >= most;
         }
     }
-  while (changes->len < most && core->garbage.length && t->writes->len == 0)
+  while (changes->len < most && core->garbage.length)
     add_change (&b, keep_key (&b, g_queue_pop_head (&core->garbage)), NULL);
   if (changes->len > 0)
     {
@@ -487,8 +487,6 @@
 void
 mh_store_step (MhCore *core)
 {
-  if (core->leader.bumping)
-    return;
   while (anything_dirty (core))
     {
       guint before = core->txns, urgent = core->dirty[MH_URGENCY_USER].length;
@@ -558,6 +556,11 @@
 {
   MhJob *job;
   guint chunk = 0;
+  if (g_str_has_prefix (e->key, MH_RECORD_RELEASES))
+    {
+      mh_release_load (core, e);
+      return;
+    }
   if (g_str_has_prefix (e->key, "j/"))
     {
       gint64 at;
@@ -618,6 +621,8 @@
     }
   else if (strcmp (page->prefix, "j/") == 0)
     load_page (core, "t/", NULL);
+  else if (strcmp (page->prefix, "t/") == 0)
+    load_page (core, MH_RECORD_RELEASES, NULL);
   else
     mh_leader_loaded (core);
 }
--- a/src/wire.c
+++ b/src/wire.c
@@ -493,9 +493,8 @@
   return true;
 }
 
-/* A list of names, or NULL; false when it is anything else. */
-static bool
-read_names (const MhValue *map, const char *key, char ***out)
+bool
+mh_value_get_names (const MhValue *map, const char *key, char ***out)
 {
   MhValue *list = mh_value_get (map, key);
   *out = NULL;
@@ -516,8 +515,8 @@
   return true;
 }
 
-static void
-set_names (MhValue *map, const char *key, char **names)
+void
+mh_value_set_names (MhValue *map, const char *key, char **names)
 {
   MhValue *list = mh_value_list ();
   for (; names && *names; names++)
@@ -568,7 +567,7 @@
       || !read_amount (b, "mem_gb", 1e9, &s->mem_gb)
       || !read_amount (b, "size_gb", 1e9, &s->image_gb))
     return NULL;
-  if (!read_names (b, "racks", &s->types))
+  if (!mh_value_get_names (b, "racks", &s->types))
     return NULL;
   if (mh_value_get (b, "hall") && !(s->zone = read_name (b, "hall")))
     return NULL;
@@ -601,7 +600,7 @@
   mh_value_set_text (m, "build", s->image);
   mh_value_set_number (m, "size_gb", s->image_gb);
   if (s->types)
-    set_names (m, "racks", s->types);
+    mh_value_set_names (m, "racks", s->types);
   mh_value_set_text (m, "hall", s->zone);
   mh_value_set_bool (m, "same_place", s->one_zone);
   mh_value_set_bool (m, "scatter", s->scatter);
@@ -741,7 +740,7 @@
       if (!t->name || !read_amount (m, "cpus", 1e6, &t->cpus)
           || !read_amount (m, "mem_gb", 1e9, &t->mem_gb)
           || !read_amount (m, "hourly", 1e9, &t->price) || !read_duration (m, "boot_s", &t->boot_us)
-          || !read_names (m, "halls", &t->zones))
+          || !mh_value_get_names (m, "halls", &t->zones))
         return NULL;
       if (!read_amount (m, "gpus", 1e6, &t->gpus))
         t->gpus = 0;
@@ -788,7 +787,7 @@
 mh_wire_read_rented (const MhValue *b)
 {
   char **names = NULL;
-  return read_names (b, "boxes", &names) ? names : NULL;
+  return mh_value_get_names (b, "boxes", &names) ? names : NULL;
 }
 
 static MhValue *
@@ -807,7 +806,7 @@
 write_release (char **machines)
 {
   MhValue *m = mh_value_map ();
-  set_names (m, "boxes", machines);
+  mh_value_set_names (m, "boxes", machines);
   return m;
 }
 
@@ -899,7 +898,7 @@
 mh_wire_read_failed (const MhValue *b)
 {
   char **names = NULL;
-  return read_names (b, "failed", &names) ? names : NULL;
+  return mh_value_get_names (b, "failed", &names) ? names : NULL;
 }
 
 bool
--- a/src/wire.h
+++ b/src/wire.h
@@ -51,6 +51,11 @@
 mh_value_get_bool (const MhValue *map, const char *key, bool *out);
 char *
 mh_value_get_text (const MhValue *map, const char *key); /* owned */
+/* A list of names, or NULL; false when it is anything else. */
+bool
+mh_value_get_names (const MhValue *map, const char *key, char ***out);
+void
+mh_value_set_names (MhValue *map, const char *key, char **names);
 bool
 mh_value_as_uint (const MhValue *item, guint64 *out);
 char *
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -10,6 +10,7 @@
 {
   gint64 at_us;
   guint64 order;
+  const SimNode *node; /* that must not stand still; NULL: none */
   EventFunc func;
   gpointer data;
   GDestroyNotify free;
@@ -35,9 +36,11 @@
 }
 
 static void
-at (Sim *sim, gint64 at_us, EventFunc func, gpointer data, GDestroyNotify free)
+at_node (Sim *sim, const SimNode *node, gint64 at_us, EventFunc func, gpointer data,
+         GDestroyNotify free)
 {
   Event *e = g_new0 (Event, 1);
+  e->node = node;
   e->at_us = MAX (at_us, sim->now_us);
   e->order = ++sim->next;
   e->func = func;
@@ -46,6 +49,12 @@
   g_sequence_insert_sorted (sim->events, e, by_time, NULL);
 }
 
+static void
+at (Sim *sim, gint64 at_us, EventFunc func, gpointer data, GDestroyNotify free)
+{
+  at_node (sim, NULL, at_us, func, data, free);
+}
+
 static gint64
 delay (Sim *sim)
 {
@@ -176,7 +185,7 @@
   if (lost (sim) || (f->request->target == MH_TARGET_STATE && sim->now_us < n->state_cut_us)
       || (write && sim->now_us < n->write_answers_lost_us))
     return;
-  at (sim, sim->now_us + delay (sim), flight_deliver, g_rc_box_acquire (f), flight_unref);
+  at_node (sim, n, sim->now_us + delay (sim), flight_deliver, g_rc_box_acquire (f), flight_unref);
 }
 
 static SimWorker *
@@ -194,6 +203,46 @@
 static void
 flight_arrive (Sim *sim, gpointer data);
 
+/* The same request once more, as an old copy of it: nobody waits for its answer. */
+static Flight *
+flight_copy (const Flight *f)
+{
+  Flight *copy = g_rc_box_new0 (Flight);
+  copy->sim = f->sim;
+  copy->node = f->node;
+  copy->life = f->life;
+  copy->request = mh_request_copy (f->request);
+  copy->replied = true;
+  return copy;
+}
+
+static void
+keep_copies (Sim *sim, const Flight *f)
+{
+  if (f->replied || strcmp (f->request->method, "GET") == 0)
+    return;
+  if (sim->keep_requests)
+    g_ptr_array_add (sim->kept, flight_copy (f));
+  if (sim->copies > 0 && g_rand_double (sim->random) < sim->copies)
+    at (sim, sim->now_us + g_rand_int_range (sim->random, 1, 60 * MH_SECOND_US), flight_arrive,
+        flight_copy (f), flight_unref);
+}
+
+bool
+sim_is_command (const Sim *sim, guint kept)
+{
+  const Flight *f = g_ptr_array_index (sim->kept, kept);
+  return strcmp (f->request->path, "/commands") == 0;
+}
+
+void
+sim_repeat_requests (Sim *sim)
+{
+  for (guint i = 0; i < sim->kept->len; i++)
+    flight_arrive (sim, g_ptr_array_index (sim->kept, i));
+  g_ptr_array_set_size (sim->kept, 0);
+}
+
 static void
 flight_to_worker (Sim *sim, Flight *f)
 {
@@ -226,6 +275,7 @@
   guint status;
   MhValue *reply;
   const MhRequest *r = f->request;
+  keep_copies (sim, f);
   if (r->target == MH_TARGET_WORKER)
     {
       if (sim->hold_commands)
@@ -389,7 +439,7 @@
       b->id = o->id;
       b->answer = a->answer;
       b->answered = true;
-      at (sim, sim->now_us + delay (sim), forward_back, b, between_free);
+      at_node (sim, &sim->nodes[o->node], sim->now_us + delay (sim), forward_back, b, between_free);
     }
   g_hash_table_remove (n->requests, &a->id);
 }
@@ -413,8 +463,8 @@
       WorldJob *j = g_hash_table_lookup (sim->world->jobs, o->job);
       b->spec = spec_copy (o->spec ? o->spec : j->spec);
     }
-  at (sim, sim->now_us + delay (sim), forward_arrive, b, between_free);
-  at (sim, sim->now_us + a->timeout_us, forward_back, timeout, between_free);
+  at_node (sim, to, sim->now_us + delay (sim), forward_arrive, b, between_free);
+  at_node (sim, n, sim->now_us + a->timeout_us, forward_back, timeout, between_free);
 }
 
 static void
@@ -430,11 +480,28 @@
   node_drain (n);
 }
 
+static void
+node_resume (Sim *sim, gpointer data)
+{
+  SimNode *n = data;
+  (void)sim;
+  if (n->core)
+    node_drain (n);
+}
+
 static void
 node_drain (SimNode *n)
 {
   Sim *sim = n->sim;
-  for (MhAction *a; (a = mh_core_pop (n->core));)
+  if (n->freeze_deciding_us)
+    n->frozen_us = sim->now_us + n->freeze_deciding_us;
+  n->freeze_deciding_us = 0;
+  if (n->frozen_us > sim->now_us)
+    {
+      at_node (sim, n, n->frozen_us, node_resume, n, NULL);
+      return;
+    }
+  for (MhAction *a; (a = mh_core_pop (n->core, node_now (n).mono_us));)
     {
       if (a->kind == MH_ACTION_CALL)
         {
@@ -444,7 +511,8 @@
           f->life = n->life;
           f->id = a->id;
           f->request = g_steal_pointer (&a->request);
-          at (sim, sim->now_us + a->timeout_us, flight_timeout, g_rc_box_acquire (f), flight_unref);
+          at_node (sim, n, sim->now_us + a->timeout_us, flight_timeout, g_rc_box_acquire (f),
+                   flight_unref);
           if (!lost (sim))
             at (sim, sim->now_us + delay (sim), flight_arrive, g_rc_box_acquire (f), flight_unref);
           flight_unref (f);
@@ -456,7 +524,8 @@
           b->to = node_named (sim, a->text)->index;
           b->job = g_strdup (n->name);
           b->id = a->id;
-          at (sim, sim->now_us + delay (sim), news_arrive, b, between_free);
+          at_node (sim, node_named (sim, a->text), sim->now_us + delay (sim), news_arrive, b,
+                   between_free);
         }
       else if (a->kind == MH_ACTION_FORWARD)
         node_forward (n, a);
@@ -476,7 +545,7 @@
   if (n->wake_us == G_MAXINT64 || sim->now_us + in < n->wake_us)
     {
       n->wake_us = sim->now_us + in;
-      at (sim, n->wake_us, node_wake, n, NULL);
+      at_node (sim, n, n->wake_us, node_wake, n, NULL);
     }
 }
 
@@ -497,11 +566,18 @@
     return;
   MhNow t = node_now (n);
   n->wake_us = G_MAXINT64;
+  n->frozen_us = n->freeze_deciding_us = 0;
   n->core = mh_core_new (n->settings, &t);
   mh_core_tick (n->core, &t);
   node_drain (n);
 }
 
+void
+sim_freeze_node (Sim *sim, guint index, double seconds)
+{
+  sim->nodes[index].frozen_us = sim->now_us + (gint64)(seconds * 1e6);
+}
+
 SimNode *
 sim_leader (Sim *sim)
 {
@@ -509,7 +585,8 @@
   for (guint i = 0; i < SIM_NODES; i++)
     {
       SimNode *n = &sim->nodes[i];
-      if (n->core == NULL)
+      /* One that stands still does nothing, whatever its memory says. */
+      if (n->core == NULL || n->frozen_us > sim->now_us)
         continue;
       MhNow t = node_now (n);
       mh_core_tick (n->core, &t);
@@ -677,13 +754,14 @@
       copy->body = cbor_incref (h->body);
       copy->flight = 0; /* nobody waits for its answer */
       copy->node = (guint)g_rand_int_range (sim->random, 0, SIM_NODES);
-      at (sim, sim->now_us + g_rand_int_range (sim->random, 1, 60 * MH_SECOND_US), hello_arrive,
-          copy, hello_free);
+      at_node (sim, &sim->nodes[copy->node],
+               sim->now_us + g_rand_int_range (sim->random, 1, 60 * MH_SECOND_US), hello_arrive,
+               copy, hello_free);
     }
   if (lost (sim))
     hello_free (h);
   else
-    at (sim, arrives, hello_arrive, h, hello_free);
+    at_node (sim, &sim->nodes[h->node], arrives, hello_arrive, h, hello_free);
 }
 
 static void
@@ -763,15 +841,17 @@
   bool settled = u->told_done || u->told_cancelled;
   at (sim, sim->now_us + (settled ? 10 : 1) * MH_SECOND_US, user_turn, u, NULL);
   SimNode *n = &sim->nodes[g_rand_int_range (sim->random, 0, SIM_NODES)];
-  if (n->core == NULL)
-    return;
+  if (n->core == NULL || n->frozen_us > sim->now_us)
+    return; /* the user gives up soon */
   Origin *o = g_new0 (Origin, 1);
   o->from = FROM_USER;
   o->sent_us = sim->now_us;
   o->user = u;
-  o->verb = !u->job->accepted || (settled && g_rand_boolean (sim->random)) ? MH_USER_SUBMIT
-            : u->withdraw && !settled                                      ? MH_USER_WITHDRAW
-                                                                           : MH_USER_STATUS;
+  /* What was carried out is now and then asked for again. */
+  bool again = g_rand_double (sim->random) < (settled ? 0.5 : sim->copies);
+  o->verb = !u->job->accepted || again                                  ? MH_USER_SUBMIT
+            : u->withdraw && (!settled || g_rand_boolean (sim->random)) ? MH_USER_WITHDRAW
+                                                                        : MH_USER_STATUS;
   o->job = g_strdup (u->job->spec->id);
   MhNow t = node_now (n);
   mh_core_user (n->core, &t, node_request (n, o), o->verb, u->job->spec->id,
@@ -897,6 +977,7 @@
   sim->users = g_ptr_array_new_with_free_func (g_free);
   sim->held = g_ptr_array_new_with_free_func (flight_unref);
   sim->held_writes = g_ptr_array_new_with_free_func (flight_unref);
+  sim->kept = g_ptr_array_new_with_free_func (flight_unref);
   sim->log = g_ptr_array_new_with_free_func (g_free);
   for (guint i = 0; i < SIM_NODES; i++)
     {
@@ -930,6 +1011,7 @@
   g_sequence_free (sim->events);
   g_ptr_array_unref (sim->held);
   g_ptr_array_unref (sim->held_writes);
+  g_ptr_array_unref (sim->kept);
   g_ptr_array_unref (sim->workers);
   g_ptr_array_unref (sim->users);
   g_ptr_array_unref (sim->log);
@@ -976,6 +1058,13 @@
         advance (sim, next);
       first = g_sequence_get_begin_iter (sim->events);
       Event *e = g_sequence_get (first);
+      if (e->node && e->node->frozen_us > sim->now_us)
+        {
+          /* Queued up until the node goes on, in the old order. */
+          e->at_us = e->node->frozen_us;
+          g_sequence_sort_changed (first, by_time, NULL);
+          continue;
+        }
       EventFunc func = e->func;
       func (sim, e->data);
       g_sequence_remove (first);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -25,6 +25,10 @@
   /* Its transactions are lost on the way, or carried out without an answer: until. */
   gint64 writes_lost_us, write_answers_lost_us;
   bool hold_writes; /* they arrive only when the test releases them */
+  /* Stands still until, while its clocks run on; what comes meanwhile waits. */
+  gint64 frozen_us;
+  /* Stands still for so long between its next input and what it decides by it. */
+  gint64 freeze_deciding_us;
 } SimNode;
 
 typedef struct
@@ -64,9 +68,11 @@
   GPtrArray *workers; /* SimWorker */
   GPtrArray *users;   /* SimUser */
   double lose, late;  /* chance that a message or its answer is lost, that it comes late */
-  double copies;      /* ... that another copy of a report comes, up to a minute later */
+  double copies;      /* ... that another copy of a request comes, up to a minute later */
   bool hold_commands; /* direct commands arrive only when the test releases them */
   GPtrArray *held, *held_writes;
+  bool keep_requests; /* every one that was carried out is kept, to be repeated */
+  GPtrArray *kept;
   GPtrArray *log; /* lines of all nodes */
 };
 
@@ -87,6 +93,13 @@
 sim_leader (Sim *sim); /* NULL: none that is valid */
 void
 sim_release_commands (Sim *sim);
+/* All requests that were kept come once more, and nobody waits for an answer. */
+void
+sim_repeat_requests (Sim *sim);
+bool
+sim_is_command (const Sim *sim, guint kept);
+void
+sim_freeze_node (Sim *sim, guint node, double seconds);
 /* The first of the held writes arrives, or is lost and its sender told so at once. */
 void
 sim_release_write (Sim *sim, bool arrives);
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -24,6 +24,14 @@
   return world_running (sim->world, u->job->spec->id) == u->job->spec->tasks;
 }
 
+static bool
+all_done (Sim *sim, gpointer data)
+{
+  const SimUser *u = data;
+  (void)sim;
+  return u->job->n_done == u->job->spec->tasks;
+}
+
 static bool
 accepted (Sim *sim, gpointer data)
 {
@@ -229,12 +237,12 @@
   w->next_us = sim->now_us + MH_SECOND_US / 2;
   /* The start comes with a report's response, the task ends, and the direct start is still on its
      way. Until a new epoch fences it the ended attempt stays on the machine. */
-  WAIT (sim, 30, told_done, u);
+  WAIT (sim, 30, all_done, u);
   /* Reports enough for a clear that should not be sent. */
   for (guint i = 0; i < 4; i++)
     {
       w->next_us = sim->now_us;
-      sim_run (sim, 0.3);
+      sim_run (sim, 0.1);
     }
   g_assert_false (sim_logged (sim, "epoch raised"));
   guint starts = sim->world->starts;
@@ -261,6 +269,128 @@
   finish (sim);
 }
 
+/* Copies of commands that were carried out come once more, when the attempts that they started have
+   been cleared: cleared without a higher epoch, a cancelled service once ran again. */
+static void
+test_repeated_requests (void)
+{
+  Sim *sim = sim_new (41);
+  running_service (sim, 1, 1);
+  sim->keep_requests = true;
+  SimUser *u = running_service (sim, 3, 2), *array = NULL;
+  array = sim_submit (sim, sim_spec (4, MH_SHAPE_ARRAY, 3, 1), 2);
+  WAIT (sim, 30, told_done, array);
+  sim_withdraw (u);
+  WAIT (sim, 10, told_cancelled, u);
+  sim_run (sim, 45); /* cleared by now */
+  guint starts = sim->world->starts, rented = (guint)sim->world->n_rented;
+  sim_repeat_requests (sim);
+  sim_run (sim, 60);
+  g_assert_cmpuint (sim->world->starts, ==, starts);
+  g_assert_cmpuint (sim->world->n_rented, ==, rented);
+  g_assert_cmpuint (world_running (sim->world, "j-000001"), ==, 1);
+  finish (sim);
+}
+
+/* A release is on its way, and may come late, when another leader takes over: it gives the machine
+   back too, and starts nothing there. */
+static void
+test_release_outlives_its_leader (void)
+{
+  Sim *sim = sim_new (45);
+  SimUser *u = running_service (sim, 1, 1);
+  WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
+  sim_run (sim, 60); /* paid for anyway until then */
+  sim_withdraw (u);
+  WAIT (sim, 10, told_cancelled, u);
+  sim->world->cloud_outage_until_us = sim->now_us + 20 * MH_SECOND_US;
+  for (guint i = 0; i < 150 && !sim_logged (sim, "given back: idle"); i++)
+    sim_run (sim, 0.1);
+  sim_run (sim, 0.5);
+  g_assert_true (sim_logged (sim, "given back: idle"));
+  sim_stop_node (sim, sim_leader (sim)->index);
+  SimUser *next = sim_submit (sim, sim_spec (3, MH_SHAPE_SERVICE, 1, 1), 0);
+  WAIT (sim, 60, all_run, next);
+  g_assert_true (worker_of (sim, "j-000003/0")->machine != m);
+  sim_run (sim, 5);
+  g_assert_true (m->gone);
+  sim_run (sim, 30);
+  g_assert_cmpuint (world_running (sim->world, "j-000003"), ==, 1);
+  finish (sim);
+}
+
+/* The leader stands still, others lead meanwhile, and it goes on as if nothing had happened: there
+   are never two, and no machine is given back for it. */
+static void
+test_stands_still (void)
+{
+  Sim *sim = sim_new (42);
+  SimUser *u = running_service (sim, 1, 3);
+  SimNode *old = sim_leader (sim);
+  guint starts = sim->world->starts;
+  sim_freeze_node (sim, old->index, 8);
+  for (guint i = 0; i < 200; i++)
+    {
+      sim_run (sim, 0.1);
+      sim_leader (sim); /* asserts that there is at most one */
+    }
+  g_assert_true (sim_leader (sim) != old);
+  g_assert_cmpuint (world_running (sim->world, u->job->spec->id), ==, 3);
+  g_assert_cmpuint (sim->world->starts, ==, starts);
+  g_assert_false (sim_logged (sim, "given back: silent"));
+  finish (sim);
+}
+
+/* It stands still while the state service is away, so that its lease holds: what it has not heard
+   meanwhile says nothing of the machines. */
+static void
+test_stands_still_in_outage (void)
+{
+  Sim *sim = sim_new (43);
+  running_service (sim, 1, 3);
+  SimNode *old = sim_leader (sim);
+  sim->world->outage_until_us = sim->now_us + 11 * MH_SECOND_US;
+  sim_freeze_node (sim, old->index, 11);
+  sim_run (sim, 20);
+  g_assert_true (sim_logged (sim, "stood still"));
+  g_assert_true (sim_leader (sim) == old);
+  g_assert_false (sim_logged (sim, "given back: silent"));
+  finish (sim);
+}
+
+/* It stands still between deciding and sending: what rested on its lease is neither ordered nor
+   answered when it goes on. */
+static void
+test_stands_still_deciding (void)
+{
+  Sim *sim = sim_new (44);
+  MhUserAnswer a;
+  SimUser *u = sim_submit (sim, sim_spec (1, MH_SHAPE_ARRAY, 1, 1), 6);
+  WAIT (sim, 60, all_run, u);
+  SimNode *old = sim_leader (sim);
+  old->freeze_deciding_us = 4 * MH_SECOND_US;
+  g_assert_cmpuint (sim_ask (sim, old->index, MH_USER_STATUS, "j-000001", NULL, &a), ==, 503);
+  /* The same with a start. */
+  WAIT (sim, 30, told_done, u);
+  running_service (sim, 3, 1);
+  old = sim_leader (sim);
+  SimUser *late = sim_submit (sim, sim_spec (5, MH_SHAPE_SERVICE, 1, 1), 0);
+  WAIT (sim, 10, accepted, late);
+  old->freeze_deciding_us = 6 * MH_SECOND_US;
+  sim_run (sim, 5.5);
+  sim->keep_requests = true;
+  for (guint i = 0; i < SIM_NODES; i++)
+    if (i != old->index)
+      sim_stop_node (sim, i);
+  sim_run (sim, 0.7);
+  for (guint i = 0; i < sim->kept->len; i++)
+    g_assert_false (sim_is_command (sim, i));
+  for (guint i = 0; i < SIM_NODES; i++)
+    sim_start_node (sim, i);
+  WAIT (sim, 30, all_run, late);
+  finish (sim);
+}
+
 /* A cancellation meets a start that is still in flight. */
 static void
 test_cancel_in_flight (void)
@@ -1130,6 +1260,11 @@
   ADD ("hung-machine-new-leader", test_hung_machine_new_leader);
   ADD ("late-command", test_late_command);
   ADD ("late-command-fenced", test_late_command_is_fenced);
+  ADD ("repeated-requests", test_repeated_requests);
+  ADD ("release-outlives-its-leader", test_release_outlives_its_leader);
+  ADD ("stands-still", test_stands_still);
+  ADD ("stands-still-in-outage", test_stands_still_in_outage);
+  ADD ("stands-still-deciding", test_stands_still_deciding);
   ADD ("cancel-in-flight", test_cancel_in_flight);
   ADD ("quota-unreachable", test_quota_unreachable);
   ADD ("silence-is-asked-about", test_silence_is_asked_about);
--- a/tests/test-random.c
+++ b/tests/test-random.c
@@ -12,7 +12,7 @@
       = sim->workers->len
             ? g_ptr_array_index (sim->workers, g_rand_int_range (r, 0, (gint)sim->workers->len))
             : NULL;
-  switch (g_rand_int_range (r, 0, 14))
+  switch (g_rand_int_range (r, 0, 16))
     {
     case 0:
     case 1:
@@ -54,6 +54,12 @@
       n->state_cut_us = n->peers_cut_us = until;
       break;
     case 12:
+      sim_freeze_node (sim, n->index, g_rand_double_range (r, 0.3, 20));
+      break;
+    case 13: /* between deciding and sending */
+      n->freeze_deciding_us = g_rand_int_range (r, 1, 12) * MH_SECOND_US;
+      break;
+    case 14:
       if (w)
         w->deaf_us = until + 20 * MH_SECOND_US;
       break;
