--- a/src/core-private.h
+++ b/src/core-private.h
@@ -257,6 +257,9 @@
 mh_fleet_machine (MhCore *core, const char *name);
 MhMachine *
 mh_fleet_add (MhCore *core, const char *name, const char *type, const char *zone, bool spot);
+/* What a machine is that was known from a record alone. */
+void
+mh_fleet_identify (MhCore *core, MhMachine *machine, const char *type, const char *zone, bool spot);
 void
 mh_fleet_types_changed (MhCore *core);
 /* How long nothing has come that should have, since `heard_us`. */
@@ -275,15 +278,10 @@
 /* The worker's answer to a question or a command of this leader; false: nothing newer. */
 bool
 mh_fleet_answered (MhCore *core, MhMachine *machine, const MhReport *report);
-/* Directly, what has not been said. `epoch_only`: even if that is nothing but the epoch. */
-void
-mh_fleet_send (MhCore *core, MhMachine *machine, bool epoch_only);
 /* For how long a leader that cannot renew its lease may keep workers' tasks alive. */
 gint64
 mh_fleet_keep_alive_us (const MhCore *core);
 void
-mh_fleet_start (MhCore *core);
-void
 mh_fleet_clear (MhCore *core);
 void
 mh_fleet_loaded (MhCore *core);
@@ -299,7 +297,7 @@
 bool
 mh_fleet_returned (const MhCore *core, const char *name);
 MhAttempt *
-mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, MhMachine *machine);
+mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, guint32 attempt, MhMachine *machine);
 void
 mh_fleet_kill (MhCore *core, MhAttempt *attempt, gint64 grace_us);
 /* The attempt can no longer run: room, quota and task are free again. */
@@ -313,6 +311,29 @@
 void
 mh_fleet_free_machine (gpointer machine);
 
+/* ---- order ---- */
+
+void
+mh_order_start (MhCore *core);
+/* The epoch that the machine is told: those of a leadership begin with own_epoch. NULL: not known.
+ */
+guint64
+mh_order_epoch (const MhCore *core, const MhMachine *machine);
+/* A direct start of the attempt that is not fenced yet. */
+MhLoose *
+mh_order_loose (const MhMachine *machine, const char *job, guint index, guint64 attempt);
+/* Forgets those that the epoch in its last report fences. */
+void
+mh_order_settle (MhMachine *machine);
+/* Raises its epoch where something waits for that. */
+void
+mh_order_fence (MhCore *core, MhMachine *machine);
+void
+mh_order_collect (MhCore *core, MhMachine *machine, GArray *orders);
+/* Directly, what has not been said. `epoch_only`: even if that is nothing but the epoch. */
+void
+mh_order_send (MhCore *core, MhMachine *machine, bool epoch_only);
+
 /* ---- silence ---- */
 
 /* Reports in a row that show nothing of the answer before them. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -3,15 +3,8 @@
 
 #include <string.h>
 
-#define DIRECT_TIMEOUT_US (2 * MH_SECOND_US)
-/* Direct commands that nobody waits for, by the processor's share: what they would say goes with
-   the answer to the next report, which costs nothing. A large array placed at once on a hundred
-   machines once kept the leader from all else for a second. */
-#define DIRECTS_PER_CORE_S 250
 /* Silence, notices and what was not said at once are looked after so often. */
 #define SWEEP_US (MH_SECOND_US / 5)
-/* Direct starts that a late copy might repeat, before they are fenced without a clear waiting. */
-#define LOOSE_KEPT 64u
 /* Copies of a machine's reports, and lists that name it, may come so long after its end. */
 #define REMEMBER_US (900 * MH_SECOND_US)
 /* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
@@ -96,6 +89,19 @@
     resolve_type (core, m);
 }
 
+void
+mh_fleet_identify (MhCore *core, MhMachine *m, const char *type, const char *zone, bool spot)
+{
+  if (m->zone == NULL)
+    m->zone = g_ref_string_new_intern (zone);
+  if (m->type_name == NULL)
+    {
+      m->type_name = g_strdup (type);
+      resolve_type (core, m);
+    }
+  m->spot = spot;
+}
+
 MhMachine *
 mh_fleet_add (MhCore *core, const char *name, const char *type, const char *zone, bool spot)
 {
@@ -158,13 +164,6 @@
     }
 }
 
-void
-mh_fleet_start (MhCore *core)
-{
-  double rate = DIRECTS_PER_CORE_S * core->settings->core_share;
-  mh_bucket_init (&core->direct_bucket, rate, MAX (1, rate / 4), core->now.mono_us);
-}
-
 gint64
 mh_fleet_silence_us (const MhCore *core, gint64 heard_us)
 {
@@ -297,13 +296,13 @@
 }
 
 MhAttempt *
-mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, MhMachine *m)
+mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, guint32 attempt, MhMachine *m)
 {
   MhTask *t = &job->tasks[index];
   MhAttempt *a = g_new0 (MhAttempt, 1);
   a->job = job;
   a->index = index;
-  a->attempt = ++t->attempt;
+  a->attempt = t->attempt = attempt;
   a->machine = m;
   a->placed_us = core->now.mono_us;
   a->phase = MH_TASK_FETCHING;
@@ -445,69 +444,6 @@
 
 /* ---- reports ---- */
 
-static MhLoose *
-find_loose (const MhMachine *m, const char *job, guint index, guint64 attempt)
-{
-  for (guint i = 0; i < m->loose->len; i++)
-    {
-      MhLoose *l = &g_array_index (m->loose, MhLoose, i);
-      if (l->index == index && l->attempt == attempt && strcmp (l->job, job) == 0)
-        return l;
-    }
-  return NULL;
-}
-
-/* What the machine is to be told: the leadership's epochs begin with own_epoch. */
-static guint64
-epoch_for (const MhCore *core, const MhMachine *m)
-{
-  return core->leader.own_epoch + (m ? m->fence : 0);
-}
-
-/* A direct start may have been lost, or a clear waits until no late copy of it can run it again:
-   the worker gets a higher epoch. It tells of that by one more report, so that clears are gathered.
- */
-static void
-fence (MhCore *core, MhMachine *m)
-{
-  bool wanted
-      = m->loose->len > LOOSE_KEPT
-        || (m->held_us && core->now.mono_us - m->held_us > core->settings->worker_lease_us / 2);
-  bool helps = false;
-  for (guint i = 0; i < m->loose->len; i++)
-    {
-      const MhLoose *l = &g_array_index (m->loose, MhLoose, i);
-      wanted |= l->lost;
-      helps |= l->epoch == epoch_for (core, m);
-    }
-  if (!wanted || !helps)
-    return;
-  if (m->fence + 2 >= MH_EPOCHS_EACH)
-    {
-      mh_leader_lost (core, "the epochs of this leadership are used up");
-      return;
-    }
-  m->fence++;
-  m->held_us = 0;
-  mh_debug (core, "machine %s: epoch raised to %" G_GUINT64_FORMAT " to fence direct starts",
-            m->name, epoch_for (core, m));
-}
-
-/* A late command is carried out only under its own tenure and an epoch that the worker has not
-   outgrown. */
-static void
-settle_loose (MhMachine *m)
-{
-  for (guint i = 0; i < m->loose->len;)
-    {
-      const MhLoose *l = &g_array_index (m->loose, MhLoose, i);
-      if (l->tenure < m->tenure || l->epoch < m->epoch)
-        g_array_remove_index_fast (m->loose, i);
-      else
-        i++;
-    }
-}
-
 /* May the attempt, which this report does not show, still be on the machine or come to it? */
 static bool
 proven_gone (const MhCore *core, const MhAttempt *a)
@@ -521,7 +457,7 @@
     return true;
   if (!a->seen && !a->kill)
     return false; /* the start is simply sent again */
-  const MhLoose *l = find_loose (m, a->job->spec->id, a->index, a->attempt);
+  const MhLoose *l = mh_order_loose (m, a->job->spec->id, a->index, a->attempt);
   return (l == NULL || l->answered) && (a->hello_tick == 0 || m->tick > a->hello_tick);
 }
 
@@ -643,20 +579,13 @@
       g_free (m->endpoint);
       m->endpoint = g_strdup (r->endpoint);
     }
-  if (m->zone == NULL)
-    m->zone = g_ref_string_new_intern (r->zone);
+  mh_fleet_identify (core, m, r->type, r->zone, r->spot);
   mh_silence_heard (core, m->zone);
-  if (m->type_name == NULL)
-    {
-      m->type_name = g_strdup (r->type);
-      resolve_type (core, m);
-    }
-  m->spot = r->spot;
   if (r->notice_us >= 0 && m->notice_until_us < 0)
     mh_info (core, "machine %s: the cloud takes it back in %.1f s", m->name,
              (double)r->notice_us / MH_SECOND_US);
   m->notice_until_us = r->notice_us >= 0 ? core->now.mono_us + r->notice_us : -1;
-  settle_loose (m);
+  mh_order_settle (m);
 
   for (guint i = 0; i < m->attempts->len; i++)
     mh_machine_attempt (m, i)->present = false;
@@ -688,7 +617,7 @@
 {
   if (strcmp (r->machine, m->name) != 0 || !newer (m, r))
     return false;
-  if (r->epoch > epoch_for (core, m))
+  if (r->epoch > mh_order_epoch (core, m))
     {
       mh_leader_lost (core, "a worker has seen a higher epoch");
       return false;
@@ -697,222 +626,6 @@
   return true;
 }
 
-/* ---- orders ---- */
-
-static void
-add_order (GArray *orders, MhOrderKind kind, const char *job, guint index, guint64 attempt,
-           gint64 grace_us)
-{
-  MhOrder o = {
-    .kind = kind, .job = g_strdup (job), .index = index, .attempt = attempt, .grace_us = grace_us
-  };
-  g_array_append_val (orders, o);
-}
-
-static bool
-may_start (const MhAttempt *a)
-{
-  const MhRecord *r = mh_job_record (a->job, a->index);
-  return !a->seen && !a->kill && !a->loaded && r->durable >= a->need_rev && !mh_job_over (a->job)
-         && !a->machine->releasing;
-}
-
-/* Starts and stops for a machine. Directly, only what has not been said before. */
-static void
-attempt_orders (MhCore *core, MhMachine *m, GArray *orders, bool direct)
-{
-  gint64 now = core->now.mono_us;
-  for (guint i = 0; i < m->attempts->len; i++)
-    {
-      MhAttempt *a = mh_machine_attempt (m, i);
-      const char *job = a->job->spec->id;
-      if (a->kill && !(direct && a->killed_us))
-        {
-          /* One that saves longer than it was given is ended by a second order. */
-          bool late = a->killed_us && now > a->killed_us + a->grace_us + MH_SECOND_US;
-          add_order (orders, MH_ORDER_STOP, job, a->index, a->attempt, late ? 0 : a->grace_us);
-          if (a->killed_us == 0)
-            a->killed_us = now;
-        }
-      else if (!a->kill && may_start (a) && !(direct && a->ordered))
-        {
-          add_order (orders, MH_ORDER_START, job, a->index, a->attempt, 0);
-          a->ordered = true;
-          a->order_tenure = m->tenure;
-          if (!direct)
-            a->hello_tick = m->tick;
-        }
-    }
-}
-
-static void
-stray_orders (MhCore *core, MhMachine *m, GArray *orders)
-{
-  bool held = false;
-  for (guint i = 0; i < m->strays->len; i++)
-    {
-      const MhStray *s = &g_array_index (m->strays, MhStray, i);
-      if (!s->ended)
-        {
-          mh_info (core, "task %s/%u: stopping stray attempt %" G_GUINT64_FORMAT " on %s", s->job,
-                   s->index, s->attempt, m->name);
-          add_order (orders, MH_ORDER_STOP, s->job, s->index, s->attempt, 0);
-          continue;
-        }
-      /* Once cleared the attempt is forgotten there, and a start that is still on its way, or a
-         late copy of one that was carried out, would run it again; and a result must not be cleared
-         before it is on record. */
-      const MhLoose *loose = find_loose (m, s->job, s->index, s->attempt);
-      if (loose)
-        {
-          held |= loose->epoch == epoch_for (core, m); /* not fenced yet */
-          continue;
-        }
-      MhJob *job = g_hash_table_lookup (core->jobs, s->job);
-      if (job && s->index < job->spec->tasks && job->tasks[s->index].state == MH_TASK_DONE)
-        {
-          const MhRecord *r = mh_job_record (job, s->index);
-          if (job->finished || r->durable < r->rev)
-            continue;
-        }
-      add_order (orders, MH_ORDER_FORGET, s->job, s->index, s->attempt, 0);
-    }
-  m->held_us = !held ? 0 : m->held_us ? m->held_us : core->now.mono_us;
-}
-
-typedef struct
-{
-  char *machine;
-  GArray *orders;
-} Direct;
-
-static void
-direct_free (gpointer data)
-{
-  Direct *d = data;
-  g_free (d->machine);
-  g_array_unref (d->orders);
-  g_free (d);
-}
-
-static MhAttempt *
-find_attempt (MhMachine *m, const MhOrder *o)
-{
-  for (guint i = 0; i < m->attempts->len; i++)
-    {
-      MhAttempt *a = mh_machine_attempt (m, i);
-      if (a->index == o->index && a->attempt == o->attempt
-          && strcmp (a->job->spec->id, o->job) == 0)
-        return a;
-    }
-  return NULL;
-}
-
-static void
-direct_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
-{
-  Direct *d = data;
-  MhMachine *m = mh_fleet_machine (core, d->machine);
-  g_autoptr (MhReport) r = status == 200 || status == 409 ? mh_wire_read_report (body) : NULL;
-  if (m == NULL)
-    return;
-  m->direct--;
-  for (guint i = 0; i < d->orders->len; i++)
-    {
-      const MhOrder *o = &g_array_index (d->orders, MhOrder, i);
-      MhAttempt *a = find_attempt (m, o);
-      MhLoose *l = find_loose (m, o->job, o->index, o->attempt);
-      if (o->kind == MH_ORDER_STOP)
-        {
-          if (a && status != 200)
-            a->killed_us = 0;
-          continue;
-        }
-      bool refused = status == 409 || status == 400;
-      if (refused && a && !a->seen && a->hello_tick == 0)
-        a->ordered = false; /* nothing was carried out, nor will a copy be */
-      if (l && refused)
-        g_array_remove_index_fast (m->loose, (guint)(l - (MhLoose *)m->loose->data));
-      else if (l)
-        {
-          l->answered = status == 200;
-          l->lost = !l->answered;
-        }
-    }
-  if (r)
-    mh_fleet_answered (core, m, r);
-}
-
-typedef enum
-{
-  NO_ORDERS,
-  PATIENT_ORDERS,
-  URGENT_ORDERS /* a replica starts, or room is made for one */
-} Orders;
-
-static Orders
-unsaid_orders (const MhMachine *m)
-{
-  Orders found = NO_ORDERS;
-  for (guint i = 0; i < m->attempts->len; i++)
-    {
-      const MhAttempt *a = mh_machine_attempt (m, i);
-      bool service = a->job->spec->shape == MH_SHAPE_SERVICE;
-      if (a->kill ? a->killed_us != 0 : a->ordered || !may_start (a))
-        continue;
-      if (a->kill ? !mh_job_over (a->job) : service)
-        return URGENT_ORDERS;
-      found = PATIENT_ORDERS;
-    }
-  return found;
-}
-
-static bool
-anything_lost (const MhMachine *m)
-{
-  for (guint i = 0; i < m->loose->len; i++)
-    if (g_array_index (m->loose, MhLoose, i).lost)
-      return true;
-  return false;
-}
-
-/* `epoch_only`: no order, but the worker learns of this leader, and so does a former one that it
-   still reports to. */
-void
-mh_fleet_send (MhCore *core, MhMachine *m, bool epoch_only)
-{
-  /* One at a time, and none to a machine that may not be there. Its next report will carry them. */
-  if (!core->settings->direct || m->direct || !m->reported || m->releasing || m->endpoint == NULL
-      || m->ignored || mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
-      || anything_lost (m))
-    return;
-  Orders unsaid = unsaid_orders (m);
-  if (!epoch_only
-      && (unsaid == NO_ORDERS
-          || (unsaid == PATIENT_ORDERS
-              && !mh_bucket_has (&core->direct_bucket, 1, core->now.mono_us))))
-    return;
-  mh_bucket_take (&core->direct_bucket, 1);
-  g_autoptr (GArray) orders = mh_orders_new ();
-  attempt_orders (core, m, orders, true);
-  Direct *d = g_new0 (Direct, 1);
-  d->machine = g_strdup (m->name);
-  d->orders = g_array_ref (orders);
-  guint64 epoch = epoch_for (core, m);
-  for (guint i = 0; i < orders->len; i++)
-    {
-      const MhOrder *o = &g_array_index (orders, MhOrder, i);
-      MhLoose l = { .index = o->index, .attempt = o->attempt, .epoch = epoch, .tenure = m->tenure };
-      if (o->kind != MH_ORDER_START)
-        continue;
-      l.job = g_strdup (o->job);
-      g_array_append_val (m->loose, l);
-    }
-  m->direct++;
-  mh_core_call (core, MH_RANK_WORK, mh_wire_commands (m->endpoint, epoch, m->tenure, orders), 0,
-                DIRECT_TIMEOUT_US, direct_reply, d, direct_free);
-}
-
 /* ---- hello ---- */
 
 /* For how long a leader that cannot renew its lease may keep workers' tasks alive, without ordering
@@ -999,7 +712,7 @@
       answer_hello (core, id, 503, NULL);
       return;
     }
-  if (r->epoch > epoch_for (core, m))
+  if (r->epoch > mh_order_epoch (core, m))
     {
       mh_leader_lost (core, "a worker has seen a higher epoch");
       answer_hello (core, id, 421, mh_wire_write_redirect (NULL));
@@ -1033,16 +746,15 @@
               observe (core, m, r, true);
               if (valid && !core->leader.lost)
                 {
-                  attempt_orders (core, m, orders, false);
-                  stray_orders (core, m, orders);
+                  mh_order_collect (core, m, orders);
                   m->told = true;
-                  m->told_epoch = epoch_for (core, m);
+                  m->told_epoch = mh_order_epoch (core, m);
                   m->told_tick = r->tick;
                 }
             }
         }
     }
-  answer_hello (core, id, 200, mh_wire_write_orders (epoch_for (core, m), NULL, orders));
+  answer_hello (core, id, 200, mh_wire_write_orders (mh_order_epoch (core, m), NULL, orders));
 }
 
 static void
@@ -1069,8 +781,8 @@
   mh_silence_check (core, m);
   if (m->notice_until_us >= 0)
     drain_by_notice (core, m);
-  fence (core, m);
-  mh_fleet_send (core, m, false);
+  mh_order_fence (core, m);
+  mh_order_send (core, m, false);
 }
 
 /* What has just changed is answered at once; all machines are looked through now and then only, so
@@ -1084,7 +796,7 @@
       MhMachine *m = g_ptr_array_index (core->due, i);
       m->due = false;
       if (!m->releasing)
-        mh_fleet_send (core, m, false);
+        mh_order_send (core, m, false);
     }
   g_ptr_array_set_size (core->due, 0);
   if (now < core->swept_us + SWEEP_US)
--- a/src/place.c
+++ b/src/place.c
@@ -360,6 +360,13 @@
   return !p->spread || p->soft || mh_spread_hard_fits (zones, p->zones->len, zone, p->max_skew);
 }
 
+/* Kind and zone allow the task there, whatever room there is. */
+static bool
+admits (const Placing *p, const MhMachine *m)
+{
+  return fits_kind (p, m) && zone_allows (p, p->zone_of[m->zone_index]);
+}
+
 static bool
 next_pending (Placing *p)
 {
@@ -371,7 +378,8 @@
 static void
 start (Placing *p, Candidate *c)
 {
-  MhAttempt *a = mh_fleet_attempt_new (p->core, p->job, p->task, c->machine);
+  MhAttempt *a = mh_fleet_attempt_new (p->core, p->job, p->task, p->job->tasks[p->task].attempt + 1,
+                                       c->machine);
   MhRecord *r = mh_job_record (p->job, p->task);
   mh_store_touch (p->core, r, p->spread ? MH_URGENCY_USER : MH_URGENCY_START);
   a->need_rev = r->rev;
@@ -550,7 +558,7 @@
     {
       MhMachine *m = g_ptr_array_index (p->pass->usable, i);
       Space could;
-      if (!fits_kind (p, m) || !zone_allows (p, p->zone_of[m->zone_index]))
+      if (!admits (p, m))
         continue;
       Space x = space_of (p->job, m, &could);
       if (enough (&x, s) && mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb) <= wait_us)
@@ -575,7 +583,7 @@
     {
       MhMachine *m = g_ptr_array_index (p->pass->usable, i);
       Space could;
-      if (!fits_kind (p, m) || !zone_allows (p, p->zone_of[m->zone_index]))
+      if (!admits (p, m))
         continue;
       Space x = space_of (p->job, m, &could);
       if (!enough (&could, s))
@@ -749,7 +757,7 @@
   for (guint i = 0; i < p->pass->usable->len; i++)
     {
       MhMachine *m = g_ptr_array_index (p->pass->usable, i);
-      if (fits_kind (p, m) && zone_allows (p, p->zone_of[m->zone_index]) && m->promised_cpus == 0
+      if (admits (p, m) && m->promised_cpus == 0
           && (best == NULL || free_cpus (m) > free_cpus (best)))
         best = m;
     }
--- a/src/scale.c
+++ b/src/scale.c
@@ -65,13 +65,7 @@
       if (m == NULL)
         m = mh_fleet_add (core, l->name, l->type, l->zone, l->spot);
       else
-        {
-          /* Known from a record only. */
-          m->type_name = g_strdup (l->type);
-          m->zone = g_ref_string_new_intern (l->zone);
-          m->spot = l->spot;
-          mh_fleet_types_changed (core);
-        }
+        mh_fleet_identify (core, m, l->type, l->zone, l->spot);
       m->rented_us = core->now.mono_us - l->age_us;
       m->endpoint = m->endpoint ? m->endpoint : g_strdup (l->endpoint);
     }
@@ -293,7 +287,8 @@
   guint draining = 0, all = 0;
   GHashTableIter it;
   gpointer value;
-  look_for_room (core, &staying);
+  if (!waiting)
+    look_for_room (core, &staying);
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
--- a/src/silence.c
+++ b/src/silence.c
@@ -124,7 +124,7 @@
       /* It may report to a former leader that is cut off, which learns from its next report that it
          is one; without this such workers once stayed there for half a minute. */
       if (r->epoch < core->leader.own_epoch && mh_leader_valid (core))
-        mh_fleet_send (core, m, true);
+        mh_order_send (core, m, true);
     }
 }
 
--- a/src/store.c
+++ b/src/store.c
@@ -545,9 +545,7 @@
       MhMachine *m = mh_fleet_machine (core, machine);
       if (m == NULL)
         m = mh_fleet_add (core, machine, NULL, NULL, false);
-      t->attempt--; /* mh_fleet_attempt_new counts it again */
-      MhAttempt *a = mh_fleet_attempt_new (core, job, index, m);
-      a->loaded = true;
+      mh_fleet_attempt_new (core, job, index, attempt, m)->loaded = true;
     }
 }
 
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -113,7 +113,7 @@
           MhMachine *m = mh_fleet_machine (core, name);
           if (m->used_cpus + job->spec->cpus <= m->type->cpus
               && m->used_mem + job->spec->mem_gb <= m->type->mem_gb && pick (f, 3))
-            mh_fleet_attempt_new (core, job, k, m)->phase = MH_TASK_RUNNING;
+            mh_fleet_attempt_new (core, job, k, 1, m)->phase = MH_TASK_RUNNING;
         }
     }
   while (f->jobs < JOBS)
@@ -229,7 +229,7 @@
         }
       if (best == NULL)
         return;
-      mh_fleet_attempt_new (f->core, job, task, best);
+      mh_fleet_attempt_new (f->core, job, task, 1, best);
       if (service)
         {
           /* Its own start is seen by the next of the service; nothing else has changed meanwhile.
