--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -349,6 +349,8 @@
   Sim *sim = sim_new (43);
   running_service (sim, 1, 3);
   SimNode *old = sim_leader (sim);
+  /* Nothing was queued up for it meanwhile. */
+  worker_of (sim, "j-000001/0")->mute_us = sim->now_us + 12 * MH_SECOND_US;
   sim->world->outage_until_us = sim->now_us + 11 * MH_SECOND_US;
   sim_freeze_node (sim, old->index, 11);
   sim_run (sim, 20);
