Contexts for connections are made as they are needed; the limit of open files is raised to fit

A context takes a file of its own, and there was one for four of all connections that the settings allow: 900 at this size, and with a limit of a million connections the process did not start.

--- a/src/front.c
+++ b/src/front.c
@@ -17,6 +17,7 @@
 {
   MhFront *front;
   GMainContext *context;
+  guint connections;
   GArray *watched; /* GPollFD, as epoll has them */
   gint64 due_us;   /* to be turned then; -1: only when something is ready */
   bool marked;     /* is among the ready ones */
@@ -31,10 +32,10 @@
   SoupServer *server;
   GSocketService *service;
   int epoll;
-  GPtrArray *groups;
+  GPtrArray *groups;  /* as many as there ever were connections for */
+  GPtrArray *vacant;  /* MhFrontGroup, with room for more connections */
   GPtrArray *ready;   /* MhFrontGroup */
   GHashTable *owners; /* fd -> MhFrontGroup */
-  guint next;
   MhFrontGroup *current;
 };
 
@@ -261,14 +262,28 @@
   group->context = g_main_context_new ();
   group->watched = g_array_new (FALSE, FALSE, sizeof (GPollFD));
   group->due_us = -1;
+  g_ptr_array_add (front->groups, group);
+  g_ptr_array_add (front->vacant, group);
   return group;
 }
 
+/* Its last reference is gone. */
+static void
+closed (gpointer data, GObject *connection)
+{
+  MhFrontGroup *group = data;
+  (void)connection;
+  if (group->connections-- == GROUP_SIZE)
+    g_ptr_array_add (group->front->vacant, group);
+}
+
 static gboolean
 incoming (GSocketService *service, GSocketConnection *connection, GObject *source, gpointer data)
 {
   MhFront *front = data;
-  MhFrontGroup *group = g_ptr_array_index (front->groups, front->next++ % front->groups->len);
+  MhFrontGroup *group = front->vacant->len
+                            ? g_ptr_array_index (front->vacant, front->vacant->len - 1)
+                            : group_new (front);
   g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (connection, NULL);
   g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (connection, NULL);
   g_autoptr (GError) error = NULL;
@@ -276,6 +291,9 @@
   (void)source;
   g_socket_set_option (g_socket_connection_get_socket (connection), IPPROTO_TCP, TCP_NODELAY, 1,
                        NULL);
+  if (++group->connections == GROUP_SIZE)
+    g_ptr_array_set_size (front->vacant, (gint)front->vacant->len - 1);
+  g_object_weak_ref (G_OBJECT (connection), closed, group);
   /* What has come already may be handled at once. */
   enter (group);
   if (!soup_server_accept_iostream (front->server, G_IO_STREAM (connection), local, remote, &error))
@@ -299,10 +317,9 @@
   front->service = g_steal_pointer (&service);
   front->epoll = epoll_create1 (EPOLL_CLOEXEC);
   front->groups = g_ptr_array_new ();
+  front->vacant = g_ptr_array_new ();
   front->ready = g_ptr_array_new ();
   front->owners = g_hash_table_new (NULL, NULL);
-  for (guint i = 0; i < MAX (1, connections / GROUP_SIZE); i++)
-    g_ptr_array_add (front->groups, group_new (front));
   g_signal_connect (front->service, "incoming", G_CALLBACK (incoming), front);
   g_source_add_unix_fd (&front->source, front->epoll, G_IO_IN);
   g_source_attach (&front->source, NULL);
--- a/src/main.c
+++ b/src/main.c
@@ -1,8 +1,10 @@
 #include "settings.h"
 #include "shell.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #define EXIT_SETTINGS 2
 
@@ -52,6 +54,21 @@
   g_setenv ("GSETTINGS_BACKEND", "memory", TRUE);
 }
 
+/* A connection takes a file, and some take a second one for what waits beside them. Where fewer are
+   allowed, so many connections are refused. */
+static void
+allow_files (guint connections)
+{
+  struct rlimit limit;
+  rlim_t wanted = (rlim_t)connections * 3 / 2 + 64;
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= wanted)
+    return;
+  limit.rlim_cur = MIN (wanted, limit.rlim_max);
+  if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
+    g_info ("%u connections want %" G_GUINT64_FORMAT " open files: %s", connections,
+            (guint64)wanted, g_strerror (errno));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -103,6 +120,7 @@
       g_print ("%s: settings are good\n", config);
       return 0;
     }
+  allow_files (settings->max_connections);
   if (!mh_shell_run (settings, &error))
     {
       g_printerr ("minthill: %s\n", error->message);
