--- a/src/core-private.h
+++ b/src/core-private.h
@@ -603,9 +603,9 @@
 
   struct
   {
-    GQueue wanted; /* names of machines */
+    GQueue wanted; /* Lot */
     gint64 next_us;
-    guint parcels;
+    guint parcels, under_way;
   } release;
 };
 
--- a/src/release.c
+++ b/src/release.c
@@ -10,20 +10,41 @@
 /* Those that are found idle or silent together go in one call. */
 #define GATHER_US (MH_SECOND_US / 4)
 #define RELEASE_MOST 100u
+/* Under way at once; what is found meanwhile is gathered. Calls for a few machines each once took
+   all that the cloud allows, and rentals and lists waited behind them. */
+#define PARCELS_AT_ONCE 2u
 
-/* Machines that are given back together. */
+/* Machines that are given back together, and the records of an earlier leader that this replaces.
+ */
 typedef struct
 {
   char *key;
-  char **names;
+  char **names, **old_keys;
 } Parcel;
 
+/* Names that have to go into one parcel: a single one, or an earlier leader's record. */
+typedef struct
+{
+  char **names;
+  char *old_key; /* NULL: none */
+} Lot;
+
+static void
+lot_free (gpointer data)
+{
+  Lot *lot = data;
+  g_strfreev (lot->names);
+  g_free (lot->old_key);
+  g_free (lot);
+}
+
 static void
 parcel_clear (gpointer data)
 {
   Parcel *p = data;
   g_free (p->key);
   g_strfreev (p->names);
+  g_strfreev (p->old_keys);
 }
 
 static void
@@ -35,9 +56,18 @@
 void
 mh_release_clear (MhCore *core)
 {
-  g_queue_clear_full (&core->release.wanted, g_free);
+  g_queue_clear_full (&core->release.wanted, lot_free);
   core->release.next_us = 0;
-  core->release.parcels = 0;
+  core->release.parcels = core->release.under_way = 0;
+}
+
+static void
+want (MhCore *core, char **names, char *old_key)
+{
+  Lot *lot = g_new0 (Lot, 1);
+  lot->names = names;
+  lot->old_key = old_key;
+  g_queue_push_tail (&core->release.wanted, lot);
 }
 
 void
@@ -47,7 +77,8 @@
     return;
   mh_info (core, "machine %s: given back: %s", m->name, why);
   m->releasing = true;
-  g_queue_push_tail (&core->release.wanted, g_strdup (m->name));
+  const char *names[] = { m->name, NULL };
+  want (core, g_strdupv ((char **)names), NULL);
 }
 
 /* ---- the call ---- */
@@ -74,6 +105,7 @@
         mh_fleet_gone (core, m);
     }
   mh_store_drop (core, p->key);
+  core->release.under_way--;
 }
 
 static void
@@ -112,31 +144,36 @@
 {
   MhCondition conditions[] = { { "leader", core->leader.own_stamp }, { p->key, 0 } };
   g_autoptr (MhValue) value = mh_record_write_release (p->names);
-  MhChange change = { .key = p->key, .value = value };
-  mh_core_call (core, MH_RANK_RULES,
-                mh_wire_txn (conditions, G_N_ELEMENTS (conditions), &change, 1), 1,
-                STATE_TIMEOUT_US, write_reply, g_rc_box_acquire (p), parcel_unref);
+  g_autoptr (GArray) changes = g_array_new (FALSE, FALSE, sizeof (MhChange));
+  MhChange put = { .key = p->key, .value = value };
+  g_array_append_val (changes, put);
+  for (char **key = p->old_keys; *key; key++)
+    {
+      MhChange drop = { .key = *key };
+      g_array_append_val (changes, drop);
+    }
+  mh_core_call (
+      core, MH_RANK_RULES,
+      mh_wire_txn (conditions, G_N_ELEMENTS (conditions), (MhChange *)changes->data, changes->len),
+      changes->len, STATE_TIMEOUT_US, write_reply, g_rc_box_acquire (p), parcel_unref);
 }
 
 /* What an earlier leader wrote down. */
 void
 mh_release_load (MhCore *core, const MhEntry *e)
 {
-  Parcel *p = g_rc_box_new0 (Parcel);
-  p->key = g_strdup (e->key);
-  p->names = mh_record_read_release (e->value);
-  for (char **name = p->names; name && *name; name++)
+  char **names = mh_record_read_release (e->value);
+  for (char **name = names; name && *name; name++)
     {
       MhMachine *m = mh_fleet_machine (core, *name);
       if (m == NULL)
         m = mh_fleet_add (core, *name, NULL, NULL, false);
       m->releasing = true;
     }
-  if (p->names)
-    call (core, p);
+  if (names)
+    want (core, names, g_strdup (e->key));
   else
     mh_core_log (core, G_LOG_LEVEL_CRITICAL, "record %s cannot be read", e->key);
-  parcel_unref (p);
 }
 
 /* ---- idle machines ---- */
@@ -171,24 +208,34 @@
     }
   core->release.next_us = core->now.mono_us + GATHER_US;
   return_idle (core);
-  if (core->release.wanted.length == 0)
+  if (core->release.wanted.length == 0 || core->release.under_way >= PARCELS_AT_ONCE)
     return;
-  g_autoptr (GStrvBuilder) names = g_strv_builder_new ();
+  g_autoptr (GStrvBuilder) names = g_strv_builder_new (), old_keys = g_strv_builder_new ();
+  guint n = 0, old = 0;
   gsize bytes = 0;
-  for (guint n = 0; n < RELEASE_MOST && core->release.wanted.length; n++)
+  for (Lot *lot; (lot = g_queue_peek_head (&core->release.wanted));)
     {
-      const char *name = g_queue_peek_head (&core->release.wanted);
-      bytes += strlen (name) + 4;
-      if (n > 0 && bytes > core->settings->value_bytes / 2)
+      for (char **name = lot->names; *name; name++)
+        bytes += strlen (*name) + 4;
+      n += g_strv_length (lot->names);
+      old += lot->old_key != NULL;
+      bool only = n == g_strv_length (lot->names);
+      if (!only
+          && (n > RELEASE_MOST || bytes > core->settings->value_bytes / 2
+              || old >= core->settings->txn_ops))
         break;
-      g_strv_builder_add (names, name);
-      g_free (g_queue_pop_head (&core->release.wanted));
+      g_strv_builder_addv (names, (const char **)lot->names);
+      if (lot->old_key)
+        g_strv_builder_add (old_keys, lot->old_key);
+      lot_free (g_queue_pop_head (&core->release.wanted));
     }
+  core->release.under_way++;
   Parcel *p = g_rc_box_new0 (Parcel);
   /* The epoch is this leadership's alone. */
   p->key = g_strdup_printf ("%s%" G_GUINT64_FORMAT "/%u", MH_RECORD_RELEASES,
                             core->leader.own_epoch, ++core->release.parcels);
   p->names = g_strv_builder_end (names);
+  p->old_keys = g_strv_builder_end (old_keys);
   write_down (core, p);
   parcel_unref (p);
 }
--- a/src/scale.c
+++ b/src/scale.c
@@ -99,8 +99,8 @@
 list_page (MhCore *core, const char *after)
 {
   core->scale.list_busy = true;
-  mh_core_call (core, MH_RANK_WORK, mh_wire_machines (after), 0, CLOUD_TIMEOUT_US, list_reply, NULL,
-                NULL);
+  mh_core_call (core, core->scale.listed ? MH_RANK_WORK : MH_RANK_RULES, mh_wire_machines (after),
+                0, CLOUD_TIMEOUT_US, list_reply, NULL, NULL);
 }
 
 /* ---- emptying machines that do little ---- */
@@ -810,8 +810,9 @@
   if (!core->scale.types_busy && now >= core->scale.types_us)
     {
       core->scale.types_busy = true;
-      mh_core_call (core, MH_RANK_WORK, mh_wire_machine_types (), 0, CLOUD_TIMEOUT_US, types_reply,
-                    NULL, NULL);
+      /* Nothing can be accepted or placed before the types are known: they wait for nothing. */
+      mh_core_call (core, core->types ? MH_RANK_WORK : MH_RANK_LEASE, mh_wire_machine_types (), 0,
+                    CLOUD_TIMEOUT_US, types_reply, NULL, NULL);
     }
   if (!core->scale.list_busy && now >= core->scale.list_us)
     list_page (core, NULL);
