A worker that counts from the beginning is given back at once

It has forgotten which epochs it has seen, so that nothing on its way to it is fenced; until now its reports counted as old ones and it was given back as silent after 16 to 19 s. Test: worker-begins-anew.

--- a/src/core-private.h
+++ b/src/core-private.h
@@ -228,9 +228,10 @@
   gint64 hello_us;               /* of the last report that it sent by itself */
   bool running;                  /* listed as such */
   gint64 known_us, rented_us, heard_us, idle_us;
-  gint64 asked_us;        /* for its report, for the first time since it was silent */
-  gint64 hinted_us;       /* a report of unknown age came */
-  gint64 notice_until_us; /* -1: no notice */
+  gint64 asked_us;                  /* for its report, for the first time since it was silent */
+  guint64 asked_tenure, asked_tick; /* of the newest that was known when it was last asked */
+  gint64 hinted_us;                 /* a report of unknown age came */
+  gint64 notice_until_us;           /* -1: no notice */
   guint64 tenure, tick, epoch;
   guint fence;         /* how often its epoch was raised in this leadership */
   gint64 held_us;      /* a clear has waited for that since then; 0: none */
--- a/src/silence.c
+++ b/src/silence.c
@@ -126,12 +126,21 @@
       if (r->epoch < core->leader.own_epoch && mh_leader_valid (core))
         mh_order_send (core, m, true);
     }
+  /* The answer to a question is newer than all that was known when it was put. One that counts from
+     the beginning comes from a worker that has lost its memory, of the epochs that it has seen too:
+     nothing that is still on its way there is fenced any more. */
+  else if (m->reported && !m->releasing
+           && (r->tenure < m->asked_tenure
+               || (r->tenure == m->asked_tenure && r->tick < m->asked_tick)))
+    mh_release_machine (core, m, "its worker has begun anew");
 }
 
 static void
 probe (MhCore *core, MhMachine *m)
 {
   m->probing = true;
+  m->asked_tenure = m->reported ? m->tenure : 0;
+  m->asked_tick = m->reported ? m->tick : 0;
   mh_core_call (core, MH_RANK_RULES, mh_wire_show (m->endpoint), 0, PROBE_TIMEOUT_US, probe_reply,
                 g_strdup (m->name), g_free);
 }
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -1272,6 +1272,25 @@
   finish (sim);
 }
 
+/* A machine is back within a moment, and its worker counts from the beginning: it has forgotten
+   which epochs it has seen, and is given back as soon as that is known. */
+static void
+test_worker_begins_anew (void)
+{
+  Sim *sim = sim_new (47);
+  SimUser *u = running_service (sim, 1, 1);
+  WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
+  sim_run (sim, 20);
+  g_array_set_size (m->tasks, 0);
+  m->tenure = 1;
+  m->tick = m->epoch = 0;
+  m->lease_from_us = sim->now_us;
+  WAIT (sim, 7, is_gone, m);
+  g_assert_true (sim_logged (sim, "begun anew"));
+  WAIT (sim, 15, all_run, u);
+  finish (sim);
+}
+
 /* Two thousand machines, all controllers crash, and everything is served; a machine is given back
    because it is idle, not because so many have not been heard from yet. */
 static void
@@ -1351,6 +1370,7 @@
   ADD ("dark-zone", test_dark_zone);
   ADD ("room-is-made-once", test_room_is_made_once);
   ADD ("lost-room-is-rented", test_lost_room_is_rented);
+  ADD ("worker-begins-anew", test_worker_begins_anew);
   ADD ("large-fleet", test_large_fleet);
   return g_test_run ();
 }
