--- a/src/front.c
+++ b/src/front.c
@@ -281,16 +281,19 @@
 incoming (GSocketService *service, GSocketConnection *connection, GObject *source, gpointer data)
 {
   MhFront *front = data;
-  MhFrontGroup *group = front->vacant->len
-                            ? g_ptr_array_index (front->vacant, front->vacant->len - 1)
-                            : group_new (front);
   g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (connection, NULL);
   g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (connection, NULL);
   g_autoptr (GError) error = NULL;
   (void)service;
   (void)source;
+  /* One that was reset before it was taken belongs to nobody any more; libsoup complains of it. */
+  if (local == NULL || remote == NULL)
+    return TRUE;
   g_socket_set_option (g_socket_connection_get_socket (connection), IPPROTO_TCP, TCP_NODELAY, 1,
                        NULL);
+  MhFrontGroup *group = front->vacant->len
+                            ? g_ptr_array_index (front->vacant, front->vacant->len - 1)
+                            : group_new (front);
   if (++group->connections == GROUP_SIZE)
     g_ptr_array_set_size (front->vacant, (gint)front->vacant->len - 1);
   g_object_weak_ref (G_OBJECT (connection), closed, group);
--- a/tests/test-loopback.c
+++ b/tests/test-loopback.c
@@ -5,6 +5,7 @@
 #include <gio/gio.h>
 #include <glib/gstdio.h>
 #include <libsoup/soup.h>
+#include <sys/socket.h>
 #include <string.h>
 
 #define NODES 3
@@ -298,8 +299,10 @@
 start (guint node)
 {
   g_autoptr (GError) error = NULL;
-  t.process[node] = g_subprocess_new (G_SUBPROCESS_FLAGS_NONE, &error, program, "--config",
-                                      t.config[node], NULL);
+  g_autoptr (GSubprocessLauncher) launcher = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
+  g_subprocess_launcher_setenv (launcher, "G_DEBUG", "fatal-criticals", TRUE);
+  t.process[node]
+      = g_subprocess_launcher_spawn (launcher, &error, program, "--config", t.config[node], NULL);
   g_assert_no_error (error);
 }
 
@@ -366,6 +369,26 @@
     ask_until (i, "GET", "/ready", NULL, 200, NULL);
 }
 
+/* Connections that are reset before they are taken; a complaint ends the process here. */
+static void
+test_resets (void)
+{
+  for (guint i = 0; i < 100 * NODES; i++)
+    {
+      g_autoptr (GSocketAddress) to
+          = g_inet_socket_address_new_from_string ("127.0.0.1", t.front[i % NODES]);
+      g_autoptr (GSocket) s
+          = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+      const struct linger at_once = { .l_onoff = 1 };
+      g_assert_true (g_socket_connect (s, to, NULL, NULL));
+      g_assert_cmpint (
+          setsockopt (g_socket_get_fd (s), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once), ==, 0);
+      g_socket_close (s, NULL);
+    }
+  for (guint i = 0; i < NODES; i++)
+    ask_until (i, "GET", "/ready", NULL, 200, NULL);
+}
+
 static void
 test_bad_input (void)
 {
@@ -463,6 +486,7 @@
   g_assert_cmpint (argc, ==, 2);
   program = argv[1];
   set_up ();
+  g_test_add_func ("/loopback/resets", test_resets);
   g_test_add_func ("/loopback/bad-input", test_bad_input);
   g_test_add_func ("/loopback/array", test_array);
   g_test_add_func ("/loopback/restarts", test_restarts);
