What is cancelled is stopped in every answer that renews a lease; mute machines; long outages

Causes, each with a test that failed before: a leader that cannot renew kept alive, without a stop, what an earlier one had kept until then (lease_s + twice the time that is allowed); one that was still loading did so for as long as its reads failed; a worker that answers but whose reports do not come was never given up, and its tasks stayed on record; after an outage in which all reports were refused the whole fleet was given back as silent.

--- a/src/core-private.h
+++ b/src/core-private.h
@@ -225,7 +225,7 @@
   guint64 told_epoch, told_tick; /* the last answer to a report: its epoch, that report's tick */
   bool told;                     /* ... must show in the next one */
   bool due;                      /* is to be looked at for orders */
-  gint64 hello_us;               /* of the last report that it sent by itself */
+  gint64 hello_us;               /* of the last report that it sent by itself, or the first word */
   bool running;                  /* listed as such */
   gint64 known_us, rented_us, heard_us, idle_us;
   gint64 asked_us;                  /* for its report, for the first time since it was silent */
@@ -331,6 +331,9 @@
 mh_order_fence (MhCore *core, MhMachine *machine);
 void
 mh_order_collect (MhCore *core, MhMachine *machine, GArray *orders);
+/* Stops for the tasks of cancelled jobs alone. */
+void
+mh_order_collect_cancelled (const MhMachine *machine, GArray *orders);
 /* Directly, what has not been said. `epoch_only`: even if that is nothing but the epoch. */
 void
 mh_order_send (MhCore *core, MhMachine *machine, bool epoch_only);
@@ -344,8 +347,9 @@
 typedef struct
 {
   GRefString *name;
-  guint machines; /* that have reported */
-  gint64 heard_us, dark_until_us;
+  guint machines;            /* that have reported */
+  gint64 heard_us, hello_us; /* the last word, the last report */
+  gint64 dark_until_us;
 } MhZone;
 
 /* How long a machine may be silent before it is given back. */
@@ -364,11 +368,14 @@
 void
 mh_silence_clear (MhCore *core);
 void
-mh_silence_heard (MhCore *core, GRefString *zone);
+mh_silence_heard (MhCore *core, GRefString *zone, bool hello);
 /* Nothing has come from the zone for so long that its machines will rather be cut off together than
    have failed one by one. */
 bool
 mh_silence_dark (const MhCore *core, const GRefString *zone);
+/* Reports of its own should have come long ago, whatever it answers. */
+bool
+mh_silence_overdue (const MhCore *core, const MhMachine *machine);
 /* It has been asked more than once, and has not answered. */
 bool
 mh_silence_unreachable (const MhMachine *machine);
@@ -538,7 +545,7 @@
   guint64 next_id;
   GQueue actions;
   gint64 wake_us;
-  gint64 awake_us; /* since it last stood still; 0: it never did */
+  gint64 awake_us; /* since it last stood still, or refused all workers; 0: it never did */
 
   GHashTable *calls; /* id -> MhCall */
   GQueue state_queue[MH_RANKS], cloud_queue[MH_RANKS];
--- a/src/core.c
+++ b/src/core.c
@@ -543,6 +543,11 @@
   mh_silence_start (core);
   mh_bucket_init (&core->cloud_bucket, settings->cloud_rps * 0.9, settings->cloud_rps * 1.5, t);
   mh_leader_start (core);
+  if (mh_fleet_keep_alive_us (core) <= 0)
+    mh_core_log (
+        core, G_LOG_LEVEL_WARNING,
+        "cancel_s leaves no room beside the workers' lease_s: without the state service no "
+        "task is kept alive for longer than that lease");
   return core;
 }
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -7,6 +7,10 @@
 #define SWEEP_US (MH_SECOND_US / 5)
 /* Copies of a machine's reports, and lists that name it, may come so long after its end. */
 #define REMEMBER_US (900 * MH_SECOND_US)
+/* Drift of the worker's clock and of ours, and some; and what a worker may take to notice the end
+   of its lease, with whatever else holds up the end of a task. */
+#define CLOCKS_APART 500
+#define KEEP_ALIVE_SPARE_US (4 * MH_SECOND_US)
 /* Tasks that fail in a row, of more than one job, before a machine is taken for faulty. */
 #define FAULTY_ERRORS 2u
 
@@ -110,7 +114,7 @@
   m->type_name = g_strdup (type);
   m->zone = zone ? g_ref_string_new_intern (zone) : NULL;
   m->spot = spot;
-  m->known_us = m->rented_us = m->heard_us = m->idle_us = core->now.mono_us;
+  m->known_us = m->rented_us = m->heard_us = m->hello_us = m->idle_us = core->now.mono_us;
   m->notice_until_us = -1;
   m->attempts = g_ptr_array_new ();
   m->loose = g_array_new (FALSE, FALSE, sizeof (MhLoose));
@@ -444,9 +448,11 @@
 
 /* ---- reports ---- */
 
-/* May the attempt, which this report does not show, still be on the machine or come to it? */
+/* May the attempt, which this report does not show, still be on the machine or come to it? The
+   answer to a question or a direct command proves less than a report: it may overtake the starts
+   that the last response carries. */
 static bool
-proven_gone (const MhCore *core, const MhAttempt *a)
+proven_gone (const MhCore *core, const MhAttempt *a, bool hello)
 {
   const MhMachine *m = a->machine;
   if (a->loaded)
@@ -455,7 +461,7 @@
     return false;
   if (a->order_tenure < m->tenure)
     return true;
-  if (!a->seen && !a->kill)
+  if (!hello || (!a->seen && !a->kill))
     return false; /* the start is simply sent again */
   const MhLoose *l = mh_order_loose (m, a->job->spec->id, a->index, a->attempt);
   return (l == NULL || l->answered) && (a->hello_tick == 0 || m->tick > a->hello_tick);
@@ -558,9 +564,9 @@
     m->ignored = 0;
   if (!m->ignored)
     m->deaf = 0;
-  if (hello)
+  if (hello || first)
     m->hello_us = core->now.mono_us;
-  else
+  if (!hello)
     mh_fleet_due (core, m);
   m->tenure = r->tenure;
   m->tick = r->tick;
@@ -580,7 +586,7 @@
       m->endpoint = g_strdup (r->endpoint);
     }
   mh_fleet_identify (core, m, r->type, r->zone, r->spot);
-  mh_silence_heard (core, m->zone);
+  mh_silence_heard (core, m->zone, hello);
   if (r->notice_us >= 0 && m->notice_until_us < 0)
     mh_info (core, "machine %s: the cloud takes it back in %.1f s", m->name,
              (double)r->notice_us / MH_SECOND_US);
@@ -592,18 +598,15 @@
   g_array_set_size (m->strays, 0);
   for (guint i = 0; i < r->tasks->len; i++)
     observe_task (core, m, &g_array_index (r->tasks, MhReportTask, i));
-  /* Absence counts in a report only: the reply to a direct command may overtake the starts that
-     the last response carries. */
-  if (hello)
-    for (guint i = m->attempts->len; i-- > 0;)
-      {
-        MhAttempt *a = mh_machine_attempt (m, i);
-        if (a->present || !proven_gone (core, a))
-          continue;
-        mh_info (core, "task %s/%u: attempt %u is gone from %s", a->job->spec->id, a->index,
-                 a->attempt, m->name);
-        mh_fleet_attempt_over (core, a, false);
-      }
+  for (guint i = m->attempts->len; i-- > 0;)
+    {
+      MhAttempt *a = mh_machine_attempt (m, i);
+      if (a->present || !proven_gone (core, a, hello))
+        continue;
+      mh_info (core, "task %s/%u: attempt %u is gone from %s", a->job->spec->id, a->index,
+               a->attempt, m->name);
+      mh_fleet_attempt_over (core, a, false);
+    }
 }
 
 static bool
@@ -628,13 +631,17 @@
 
 /* ---- hello ---- */
 
-/* For how long a leader that cannot renew its lease may keep workers' tasks alive, without ordering
-   anything: a task cancelled by a successor must still be gone in time, and the worker's own lease
-   ends at the latest lease_s after the last answer. */
+/* For how long after its last renewal a leader that cannot renew any more may keep workers' tasks
+   alive, without starting anything. A successor may confirm a cancellation from that renewal's end
+   on, never before; a task of that job must be gone within cancel_s, and ends at the latest with
+   the worker's lease after the last answered report. docs/design.md has the inequality with each
+   term. Not above 0: no such answer is given. */
 gint64
 mh_fleet_keep_alive_us (const MhCore *core)
 {
-  return core->settings->cancel_us - core->settings->worker_lease_us - 4 * MH_SECOND_US;
+  const MhSettings *s = core->settings;
+  return s->cancel_us - s->worker_lease_us - s->worker_lease_us / CLOCKS_APART
+         - KEEP_ALIVE_SPARE_US;
 }
 
 static bool
@@ -718,42 +725,46 @@
       answer_hello (core, id, 421, mh_wire_write_redirect (NULL));
       return;
     }
+  /* One that has not read the records yet does not know what is cancelled: each of its answers
+     would keep such tasks alive, and slow reads, or one short leadership after the other, for ever.
+   */
   bool valid = mh_leader_valid (core);
-  if (!valid && !may_keep_alive (core))
+  if (core->leader.phase != MH_PHASE_LEAD || (!valid && !may_keep_alive (core)))
     {
       answer_hello (core, id, 503, NULL);
       return;
     }
   g_autoptr (GArray) orders = mh_orders_new ();
-  if (core->leader.phase == MH_PHASE_LEAD)
-    {
-      /* Copies of reports come late, also of machines that are long gone and to a leader that has
-         heard nothing newer. Only one with an epoch of this leadership was surely sent in it; by
-         any other the worker is merely answered, and it reports again when it has seen the epoch.
-       */
-      if (r->epoch < core->leader.own_epoch)
-        hint (core, m, r);
-      else
+  bool told = false;
+  /* Copies of reports come late, also of machines that are long gone and to a leader that has
+     heard nothing newer. Only one with an epoch of this leadership was surely sent in it; by
+     any other the worker is merely answered, and it reports again when it has seen the epoch. */
+  if (r->epoch < core->leader.own_epoch)
+    hint (core, m, r);
+  else
+    {
+      if (m == NULL)
         {
-          if (m == NULL)
-            {
-              mh_info (core, "machine %s: not known before; it is used", r->machine);
-              m = mh_fleet_add (core, r->machine, r->type, r->zone, r->spot);
-            }
-          if (newer (m, r))
+          mh_info (core, "machine %s: not known before; it is used", r->machine);
+          m = mh_fleet_add (core, r->machine, r->type, r->zone, r->spot);
+        }
+      if (newer (m, r))
+        {
+          heed (core, m, r);
+          observe (core, m, r, true);
+          if (valid && !core->leader.lost)
             {
-              heed (core, m, r);
-              observe (core, m, r, true);
-              if (valid && !core->leader.lost)
-                {
-                  mh_order_collect (core, m, orders);
-                  m->told = true;
-                  m->told_epoch = mh_order_epoch (core, m);
-                  m->told_tick = r->tick;
-                }
+              mh_order_collect (core, m, orders);
+              told = m->told = true;
+              m->told_epoch = mh_order_epoch (core, m);
+              m->told_tick = r->tick;
             }
         }
     }
+  /* No answer renews the lease of a worker without stopping what is cancelled there: the leader may
+     not be able to say so later. */
+  if (!told && m)
+    mh_order_collect_cancelled (m, orders);
   answer_hello (core, id, 200, mh_wire_write_orders (mh_order_epoch (core, m), NULL, orders));
 }
 
--- a/src/order.c
+++ b/src/order.c
@@ -175,6 +175,19 @@
   stray_orders (core, m, orders);
 }
 
+/* A confirmed cancellation stands under every leader: telling of it is no order of this one's, and
+   is right whatever has happened since. */
+void
+mh_order_collect_cancelled (const MhMachine *m, GArray *orders)
+{
+  for (guint i = 0; i < m->attempts->len; i++)
+    {
+      const MhAttempt *a = mh_machine_attempt (m, i);
+      if (a->job->cancel_durable)
+        add_order (orders, MH_ORDER_STOP, a->job->spec->id, a->index, a->attempt, 0);
+    }
+}
+
 /* ---- straight away ---- */
 
 typedef struct
--- a/src/place.c
+++ b/src/place.c
@@ -153,8 +153,7 @@
 usable (const MhCore *core, const MhMachine *m)
 {
   return live (m) && !m->draining && !m->ignored && m->notice_until_us < 0
-         && core->now.mono_us >= m->hold_us
-         && !mh_fleet_silent (core, m, core->settings->report_us * 5 / 2);
+         && core->now.mono_us >= m->hold_us && !mh_silence_overdue (core, m);
 }
 
 static double
--- a/src/silence.c
+++ b/src/silence.c
@@ -58,7 +58,7 @@
 }
 
 void
-mh_silence_heard (MhCore *core, GRefString *name)
+mh_silence_heard (MhCore *core, GRefString *name, bool hello)
 {
   MhZone *z = find_zone (core, name);
   if (z == NULL)
@@ -70,6 +70,8 @@
   if (core->now.mono_us < z->dark_until_us)
     mh_info (core, "zone %s: heard from again", z->name);
   z->heard_us = core->now.mono_us;
+  if (hello)
+    z->hello_us = core->now.mono_us;
   z->dark_until_us = 0;
 }
 
@@ -94,6 +96,12 @@
     }
 }
 
+bool
+mh_silence_overdue (const MhCore *core, const MhMachine *m)
+{
+  return mh_fleet_silence_us (core, m->hello_us) > core->settings->report_us * 5 / 2;
+}
+
 bool
 mh_silence_unreachable (const MhMachine *m)
 {
@@ -181,7 +189,11 @@
             mh_release_machine (core, m, "silent with all of its zone");
           return;
         }
-      if (mh_silence_unreachable (m) && m->ignored >= MH_IGNORED_ANSWERS && !patience->cut_off)
+      /* It answers, but its own reports reach nobody. What runs there goes on until its lease is
+         over, and what it is told directly after that it would only lose again. */
+      if (mh_fleet_silence_us (core, m->hello_us) > core->settings->worker_lease_us + MH_SECOND_US)
+        mh_release_machine (core, m, "its reports do not come");
+      else if (mh_silence_unreachable (m) && m->ignored >= MH_IGNORED_ANSWERS && !patience->cut_off)
         mh_release_machine (core, m, "nothing reaches it");
       else if (silent > patience->known_us
                || (mh_silence_unreachable (m) && !patience->cut_off && others_heard (core, m)
@@ -236,7 +248,7 @@
       all++;
       hosts += m->replicas > 0;
       if (m->reported)
-        silent += m->deaf || m->ignored || mh_fleet_silent (core, m, usual);
+        silent += m->deaf || m->ignored || mh_fleet_silence_us (core, m->hello_us) > usual;
       else
         unseen++;
     }
@@ -258,8 +270,9 @@
   core->patience = p;
 }
 
-/* A leader that hears none of several workers, though the state service serves it, is cut off from
-   them. Another controller may not be; and their leases run out. */
+/* A leader that gets the reports of none of several workers, though the state service serves it, is
+   cut off from them. Another controller may not be; and their leases run out, also of those that
+   answer its questions. */
 void
 mh_silence_hand_over (MhCore *core)
 {
@@ -268,7 +281,7 @@
   for (guint i = 0; i < core->zones->len; i++)
     {
       const MhZone *z = &g_array_index (core->zones, MhZone, i);
-      heard_us = MAX (heard_us, z->heard_us);
+      heard_us = MAX (heard_us, z->hello_us);
       machines += z->machines;
     }
   if (machines >= LEAST_OF_ZONE && core->settings->members->len > 0
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -284,14 +284,29 @@
         flight_to_worker (sim, f);
       return;
     }
-  if (r->target == MH_TARGET_STATE && sim->now_us < sim->nodes[f->node].state_cut_us)
+  const SimNode *n = &sim->nodes[f->node];
+  if (r->target == MH_TARGET_STATE && sim->now_us < n->state_cut_us)
     return;
-  if (strcmp (r->path, "/multi") == 0 && sim->nodes[f->node].hold_writes)
+  if (r->target == MH_TARGET_STATE && sim->now_us < n->state_refused_us)
+    {
+      flight_answer (sim, f, 503, NULL);
+      return;
+    }
+  if (g_str_has_prefix (r->path, "/kv?") && sim->now_us < n->lists_lost_us)
+    return;
+  if (strcmp (r->path, "/multi") == 0 && !f->replied && sim->late_writes > 0
+      && g_rand_double (sim->random) < sim->late_writes)
+    {
+      at (sim, sim->now_us + g_rand_int_range (sim->random, 2, 12) * MH_SECOND_US, flight_arrive,
+          flight_copy (f), flight_unref);
+      return;
+    }
+  if (strcmp (r->path, "/multi") == 0 && n->hold_writes)
     {
       g_ptr_array_add (sim->held_writes, g_rc_box_acquire (f));
       return;
     }
-  if (strcmp (r->path, "/multi") == 0 && sim->now_us < sim->nodes[f->node].writes_lost_us)
+  if (strcmp (r->path, "/multi") == 0 && sim->now_us < n->writes_lost_us)
     return;
   guint64 token = (guint64)(gsize)f;
   if (world_serve (sim->world, r->target, r->method, r->path, r->body, token, &status, &reply))
@@ -680,7 +695,7 @@
 {
   Hello *h = data;
   SimNode *n = &sim->nodes[h->node];
-  if (n->core == NULL || n->workers_cut_us > sim->now_us)
+  if (n->core == NULL || n->workers_cut_us > sim->now_us || n->reports_lost_us > sim->now_us)
     return;
   g_autoptr (MhReport) r = mh_wire_read_report (h->body);
   g_assert_nonnull (r);
@@ -806,6 +821,8 @@
   if (a->status != 200 && a->status != 201)
     return;
   u->answered_us = sim->now_us;
+  if (u->impossible)
+    rule (sim, "accepted though it can't run", u, a);
   if (!j->accepted && o->verb == MH_USER_SUBMIT)
     j->accepted = true;
   /* An answer to what was asked before the user knew more may be older. */
@@ -834,12 +851,9 @@
 }
 
 static void
-user_turn (Sim *sim, gpointer data)
+user_asks (Sim *sim, SimUser *u)
 {
-  SimUser *u = data;
-  /* Even settled jobs are asked about now and then: their answer must never change. */
   bool settled = u->told_done || u->told_cancelled;
-  at (sim, sim->now_us + (settled ? 10 : 1) * MH_SECOND_US, user_turn, u, NULL);
   SimNode *n = &sim->nodes[g_rand_int_range (sim->random, 0, SIM_NODES)];
   if (n->core == NULL || n->frozen_us > sim->now_us)
     return; /* the user gives up soon */
@@ -859,6 +873,34 @@
   node_drain (n);
 }
 
+static void
+user_turn (Sim *sim, gpointer data)
+{
+  SimUser *u = data;
+  /* Even settled jobs are asked about now and then: their answer must never change. */
+  bool settled = u->told_done || u->told_cancelled;
+  at (sim, sim->now_us + (settled ? 10 : 1) * MH_SECOND_US, user_turn, u, NULL);
+  user_asks (sim, u);
+}
+
+/* At the moment at which the last task ends, and before anybody was told. */
+static void
+users_call_off (Sim *sim)
+{
+  for (guint i = 0; i < sim->users->len; i++)
+    {
+      SimUser *u = g_ptr_array_index (sim->users, i);
+      if (u->ended || u->job->n_done < u->job->spec->tasks)
+        continue;
+      u->ended = true;
+      if (g_rand_double (sim->random) >= sim->cancel_at_end)
+        continue;
+      sim_withdraw (u);
+      user_asks (sim, u);
+      user_asks (sim, u);
+    }
+}
+
 MhJobSpec *
 sim_spec (guint number, MhShape shape, guint tasks, double cpus)
 {
@@ -1027,6 +1069,8 @@
   g_autoptr (GArray) woken = g_array_new (FALSE, FALSE, sizeof (WorldWoken));
   sim->now_us = to_us;
   world_advance (sim->world, to_us, woken);
+  if (sim->cancel_at_end > 0)
+    users_call_off (sim);
   for (guint i = 0; i < woken->len; i++)
     {
       const WorldWoken *w = &g_array_index (woken, WorldWoken, i);
@@ -1085,8 +1129,8 @@
   for (guint i = 0; i < sim->users->len; i++)
     {
       const SimUser *u = g_ptr_array_index (sim->users, i);
-      bool settled
-          = u->told_done || (u->told_cancelled && !world_running (sim->world, u->job->spec->id));
+      bool settled = u->impossible || u->told_done
+                     || (u->told_cancelled && !world_running (sim->world, u->job->spec->id));
       bool lives = u->job->run_us == 0 && !u->withdraw
                    && world_running (sim->world, u->job->spec->id) == u->job->spec->tasks;
       if (!settled && !lives)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -25,6 +25,9 @@
   /* Its transactions are lost on the way, or carried out without an answer: until. */
   gint64 writes_lost_us, write_answers_lost_us;
   bool hold_writes; /* they arrive only when the test releases them */
+  /* The state service refuses this node alone (503); its lists of keys get no answer: until. */
+  gint64 state_refused_us, lists_lost_us;
+  gint64 reports_lost_us; /* no worker's report reaches it: until */
   /* Stands still until, while its clocks run on; what comes meanwhile waits. */
   gint64 frozen_us;
   /* Stands still for so long between its next input and what it decides by it. */
@@ -51,6 +54,8 @@
   WorldJob *job;
   bool withdraw; /* the user asks for it */
   bool told_done, told_cancelled;
+  bool impossible; /* the job can never run: it must not be accepted */
+  bool ended;      /* its last task has */
   guint last_status;
   gint64 told_us;     /* of the last final answer */
   gint64 answered_us; /* the last question that was */
@@ -69,7 +74,10 @@
   GPtrArray *users;   /* SimUser */
   double lose, late;  /* chance that a message or its answer is lost, that it comes late */
   double copies;      /* ... that another copy of a request comes, up to a minute later */
-  bool hold_commands; /* direct commands arrive only when the test releases them */
+  double
+      late_writes; /* ... that a transaction gets no answer, and is carried out 2 to 12 s later */
+  double cancel_at_end; /* ... that a job is called off at the moment at which it ends */
+  bool hold_commands;   /* direct commands arrive only when the test releases them */
   GPtrArray *held, *held_writes;
   bool keep_requests; /* every one that was carried out is kept, to be repeated */
   GPtrArray *kept;
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -1,81 +1,8 @@
 /* For each rule of the protocol a day that would break it, with a fake clock and scripted peers. */
-#include "sim.h"
+#include "steps.h"
 
 #include <string.h>
 
-static bool
-told_done (Sim *sim, gpointer data)
-{
-  (void)sim;
-  return ((SimUser *)data)->told_done;
-}
-
-static bool
-told_cancelled (Sim *sim, gpointer data)
-{
-  (void)sim;
-  return ((SimUser *)data)->told_cancelled;
-}
-
-static bool
-all_run (Sim *sim, gpointer data)
-{
-  const SimUser *u = data;
-  return world_running (sim->world, u->job->spec->id) == u->job->spec->tasks;
-}
-
-static bool
-all_done (Sim *sim, gpointer data)
-{
-  const SimUser *u = data;
-  (void)sim;
-  return u->job->n_done == u->job->spec->tasks;
-}
-
-static bool
-accepted (Sim *sim, gpointer data)
-{
-  (void)sim;
-  return ((SimUser *)data)->job->accepted;
-}
-
-static bool
-has_leader (Sim *sim, gpointer data)
-{
-  (void)data;
-  return sim_leader (sim) != NULL;
-}
-
-static bool
-is_gone (Sim *sim, gpointer data)
-{
-  (void)sim;
-  return ((WorldMachine *)data)->gone;
-}
-
-static SimWorker *
-worker_of (Sim *sim, const char *leg)
-{
-  for (guint i = 0; i < sim->workers->len; i++)
-    {
-      SimWorker *w = g_ptr_array_index (sim->workers, i);
-      for (guint k = 0; k < w->machine->tasks->len; k++)
-        if (strcmp (g_array_index (w->machine->tasks, WorldTask, k).leg, leg) == 0)
-          return w;
-    }
-  return NULL;
-}
-
-#define WAIT(sim, seconds, what, data) g_assert_true (sim_until (sim, seconds, what, data))
-
-static SimUser *
-running_service (Sim *sim, guint number, guint tasks)
-{
-  SimUser *u = sim_submit (sim, sim_spec (number, MH_SHAPE_SERVICE, tasks, 1), 0);
-  WAIT (sim, 60, all_run, u);
-  return u;
-}
-
 static void
 finish (Sim *sim)
 {
