--- a/src/silence.c
+++ b/src/silence.c
@@ -191,7 +191,9 @@
         }
       /* It answers, but its own reports reach nobody. What runs there goes on until its lease is
          over, and what it is told directly after that it would only lose again. */
-      if (mh_fleet_silence_us (core, m->hello_us) > core->settings->worker_lease_us + MH_SECOND_US)
+      if (silent < core->settings->silence_us
+          && mh_fleet_silence_us (core, m->hello_us)
+                 > core->settings->worker_lease_us + MH_SECOND_US)
         mh_release_machine (core, m, "its reports do not come");
       else if (mh_silence_unreachable (m) && m->ignored >= MH_IGNORED_ANSWERS && !patience->cut_off)
         mh_release_machine (core, m, "nothing reaches it");
