--- a/src/core-private.h
+++ b/src/core-private.h
@@ -64,6 +64,7 @@
   guint64 stamp;   /* 0: does not exist yet */
   guint64 rev;     /* of memory */
   guint64 durable; /* of the state service */
+  guint64 laid;    /* ... while the job is being laid out anew, and counts only after that */
   guint urgency;   /* in which queue, while queued */
   guint again;     /* ... once it is written */
   bool queued, writing;
@@ -101,7 +102,14 @@
   gint64 start_by_us;      /* the latest start that is in time */
   gint64 run_us, fetch_us; /* expected, of a task; kept by the plan of rentals */
   bool hopeless;           /* no aim can be met any more */
-  bool starved;            /* nothing of it has begun for long */
+  /* of a gang */
+  bool ending;           /* a task of the attempt is over, or all are told to stop */
+  gint64 gathering_us;   /* a task waits for the others since; 0: none was seen to */
+  guint held;            /* tasks for which room is held, in this pass, */
+  const char *held_zone; /* in the only zone that it may come to; interned, NULL: any */
+  /* laid out anew in smaller records: see store.c */
+  guint old_records; /* that are being replaced; 0: none are */
+  bool starved;      /* nothing of it has begun for long */
 };
 
 /* `chunk` 0: as large as values of `value_bytes` take. */
@@ -300,8 +308,12 @@
 mh_fleet_returned (const MhCore *core, const char *name);
 MhAttempt *
 mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, guint32 attempt, MhMachine *machine);
+/* A gang is stopped whole. */
 void
 mh_fleet_kill (MhCore *core, MhAttempt *attempt, gint64 grace_us);
+/* Known to be done though no attempt of ours showed it. */
+void
+mh_fleet_task_done (MhCore *core, MhJob *job, guint index);
 /* The attempt can no longer run: room, quota and task are free again. */
 void
 mh_fleet_attempt_over (MhCore *core, MhAttempt *attempt, bool done);
@@ -338,6 +350,9 @@
 /* Stops for the tasks of cancelled jobs alone. */
 void
 mh_order_collect_cancelled (const MhMachine *machine, GArray *orders);
+/* Whether a command would leave for the machine now. */
+bool
+mh_order_reaches (const MhCore *core, const MhMachine *machine);
 /* Directly, what has not been said. `epoch_only`: even if that is nothing but the epoch. */
 void
 mh_order_send (MhCore *core, MhMachine *machine, bool epoch_only);
@@ -443,9 +458,59 @@
 /* The zone that the job asks for, or that its other tasks have fixed; interned; NULL: any. */
 const char *
 mh_place_only_zone (const MhJob *job);
+/* Room on a machine: free and not promised; with what is being stopped, and in `could` with what
+   might be stopped for the job. */
+typedef struct
+{
+  double cpus, gpus, mem;
+} MhSpace;
+MhSpace
+mh_place_free (const MhMachine *machine);
+MhSpace
+mh_place_space (const MhJob *wants, const MhMachine *machine, MhSpace *could);
+/* Those with the least loss whose end makes `x` enough for `n` tasks; returns what is lost. */
+double
+mh_place_victims (MhCore *core, const MhJob *wants, const MhMachine *machine, MhSpace x, guint n,
+                  GPtrArray *victims);
+/* Kept for `n` of these tasks in this pass. */
+void
+mh_place_promise (MhMachine *machine, const MhJobSpec *spec, guint n);
+MhAttempt *
+mh_place_start (MhCore *core, MhJob *job, guint index, guint32 attempt, MhMachine *machine,
+                guint urgency);
 void
 mh_place_spread_rule (const MhCore *core, const MhJobSpec *spec, guint *max_skew, bool *soft);
 
+/* ---- gang ---- */
+
+typedef enum
+{
+  MH_GANG_WAITS,
+  MH_GANG_PREEMPTED, /* room is being made */
+  MH_GANG_STARTED
+} MhGangPlaced;
+
+GHashTable *
+mh_gang_table (void);
+bool
+mh_gang_is (const MhJob *job);
+/* False: its tasks can never run all at once. */
+bool
+mh_gang_possible (const MhCore *core, const MhJobSpec *spec);
+bool
+mh_gang_on_record (const MhAttempt *attempt);
+void
+mh_gang_task_over (MhCore *core, MhJob *job, bool done);
+void
+mh_gang_loaded (MhCore *core, MhJob *job);
+/* Whole; `grace_us` is what a task needs to save. */
+void
+mh_gang_stop (MhCore *core, MhJob *job, gint64 grace_us);
+void
+mh_gang_step (MhCore *core);
+MhGangPlaced
+mh_gang_place (MhCore *core, MhJob *job, const GPtrArray *usable, bool may_preempt);
+
 void
 mh_scale_start (MhCore *core);
 void
@@ -605,6 +670,8 @@
   GPtrArray *types;        /* MhMachineType; NULL until known */
   GHashTable *team_use;    /* team -> MhUse */
   GHashTable *class_stats; /* class -> MhClassStat */
+  GHashTable *gangs;       /* ids of those that a task's end has consequences for */
+  gint64 gangs_looked_us;
   bool place_wanted, place_urgent;
   gint64 placed_us, preempted_us;
   GHashTable *forwards; /* id -> MhUserVerb as pointer */
--- a/src/core.c
+++ b/src/core.c
@@ -281,14 +281,14 @@
   const MhTeam *team = mh_settings_team (core->settings, spec->team);
   if (team == NULL)
     return 422;
-  double n = spec->shape == MH_SHAPE_SERVICE ? spec->tasks : 1;
+  double n = spec->shape == MH_SHAPE_ARRAY ? 1 : spec->tasks;
   if (spec->cpus * n > team->cpus_max + 1e-9 || spec->gpus * n > team->gpus_max + 1e-9)
     return 422;
   if (core->types == NULL)
     return 503;
   for (guint i = 0; i < core->types->len; i++)
     if (mh_place_type_fits (spec, g_ptr_array_index (core->types, i)))
-      return 0;
+      return spec->shape == MH_SHAPE_GANG && !mh_gang_possible (core, spec) ? 422 : 0;
   return 422;
 }
 
@@ -539,6 +539,7 @@
   core->machines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, mh_fleet_free_machine);
   core->team_use = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   core->returned = g_hash_table_new (g_str_hash, g_str_equal);
+  core->gangs = mh_gang_table ();
   core->due = g_ptr_array_new ();
   core->zones = g_array_new (FALSE, TRUE, sizeof (MhZone));
   core->class_stats = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -581,6 +582,7 @@
   g_hash_table_unref (core->finals);
   g_hash_table_unref (core->team_use);
   g_hash_table_unref (core->returned);
+  g_hash_table_unref (core->gangs);
   g_ptr_array_unref (core->due);
   g_array_unref (core->zones);
   g_hash_table_unref (core->class_stats);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -146,6 +146,7 @@
   mh_silence_clear (core);
   core->replicas = 0;
   g_hash_table_remove_all (core->team_use);
+  g_hash_table_remove_all (core->gangs);
 }
 
 /* The reports that come after a reload are measured from here, not from before. */
@@ -158,6 +159,8 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       MhJob *job = value;
+      if (mh_gang_is (job))
+        mh_gang_loaded (core, job);
       if (job->cancelled)
         mh_fleet_kill_job (core, job);
       else if (job->n_done == job->spec->tasks)
@@ -387,6 +390,8 @@
      of it once more, on a machine that may have been given back long ago. */
   if (!job->cancelled)
     mh_store_touch (core, mh_job_record (job, a->index), MH_URGENCY_PROGRESS);
+  if (mh_gang_is (job))
+    mh_gang_task_over (core, job, done);
   /* Room that was made by preemption is wanted at once, and so is a new place for a replica. */
   core->place_urgent |= a->kill || job->spec->shape == MH_SHAPE_SERVICE;
   core->place_wanted = true;
@@ -394,6 +399,15 @@
   job_check_over (core, job);
 }
 
+void
+mh_fleet_task_done (MhCore *core, MhJob *job, guint index)
+{
+  job->tasks[index].state = MH_TASK_DONE;
+  job->n_done++;
+  mh_store_touch (core, mh_job_record (job, index), MH_URGENCY_START);
+  job_check_over (core, job);
+}
+
 void
 mh_fleet_due (MhCore *core, MhMachine *m)
 {
@@ -406,6 +420,11 @@
 void
 mh_fleet_kill (MhCore *core, MhAttempt *a, gint64 grace_us)
 {
+  if (mh_gang_is (a->job) && !mh_job_over (a->job))
+    {
+      mh_gang_stop (core, a->job, grace_us);
+      return;
+    }
   if (!a->ordered && !a->loaded)
     {
       /* No order ever left: there is nothing to wait for. */
@@ -527,6 +546,12 @@
                cause == MH_CAUSE_BUSY ? "another attempt is there" : "no room");
       m->hold_us = core->now.mono_us + MH_SECOND_US;
       break;
+    case MH_CAUSE_PEERS:
+    case MH_CAUSE_INCOMPLETE:
+      mh_info (core, "gang %s: task %u on %s: %s", job->spec->id, a->index, m->name,
+               cause == MH_CAUSE_PEERS ? "another task is gone"
+                                       : "the others did not come in time");
+      break;
     case MH_CAUSE_UNKNOWN:
       mh_info (core, "task %s/%u: %s does not know the job yet", job->spec->id, a->index, m->name);
       job->retry_us = core->now.mono_us + 2 * MH_SECOND_US;
@@ -562,8 +587,11 @@
       a->seen = a->present = true;
       a->phase = t->phase;
       set_running (core, a, t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING);
+      if (t->phase == MH_TASK_GATHERING && job->gathering_us == 0)
+        job->gathering_us = core->now.mono_us;
       /* One that was stopped while it waited for its image ends without it. */
-      if (t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING || t->cause == MH_CAUSE_DONE)
+      if (t->phase == MH_TASK_GATHERING || t->phase == MH_TASK_RUNNING || t->phase == MH_TASK_SAVING
+          || t->cause == MH_CAUSE_DONE)
         mh_fleet_cache (m, job->image, job->spec->image_gb);
       if (t->phase != MH_TASK_ENDED)
         return;
@@ -802,6 +830,9 @@
       if (a->kill)
         continue;
       gint64 ran = a->running_us ? core->now.mono_us - a->running_us : 0;
+      /* Too late to save together: it may still end in time, and loses nothing more if not. */
+      if (mh_gang_is (a->job) && a->running_us && left < s->save_us + MH_SECOND_US)
+        continue;
       if (s->checkpoint_us > 0 && a->running_us)
         mh_fleet_kill (core, a, MAX (0, MIN (s->save_us, left)));
       else if (s->shape == MH_SHAPE_SERVICE || s->estimate_us - ran > left)
@@ -825,6 +856,7 @@
 mh_fleet_step (MhCore *core)
 {
   gint64 now = core->now.mono_us;
+  mh_gang_step (core);
   for (guint i = 0; i < core->due->len; i++)
     {
       MhMachine *m = g_ptr_array_index (core->due, i);
--- /dev/null
+++ b/src/gang.c
@@ -0,0 +1,475 @@
+/* Gangs (gang scheduling): jobs whose tasks all run at the same time, or none does. One attempt
+   number for all tasks; places for all in one pass or for none; whatever ends one task ends the
+   attempt; the next one begins when every task of the last is proven gone. KEP-895's spread is
+   about services and does not apply here. */
+#include "core-private.h"
+
+#include <string.h>
+
+/* Of the time that the workers wait for a gang to be complete: it is taken back before they give
+   up, and is not put where its images come further apart. */
+#define WAIT_SHARE 0.8
+#define APART_SHARE 0.6
+/* A machine on which the image did not come in time takes nothing for so long. */
+#define LATE_IMAGE_US (30 * MH_SECOND_US)
+/* What is free in its best zone is held for a gang that waits, until machines rented for the rest
+   have had the time to come; after that only when it is starved. */
+#define HOLD_US (90 * MH_SECOND_US)
+/* Waits for images that differ by less are alike. */
+#define WAIT_STEP_US (2 * MH_SECOND_US)
+#define LOOK_US MH_SECOND_US
+
+bool
+mh_gang_is (const MhJob *job)
+{
+  return job->spec->shape == MH_SHAPE_GANG;
+}
+
+/* ---- can it ever run ---- */
+
+/* All tasks at once, with the zones that it allows and that its types are offered in. */
+bool
+mh_gang_possible (const MhCore *core, const MhJobSpec *s)
+{
+  if (!s->scatter || s->tasks == 1)
+    return true;
+  if (s->one_zone || s->zone)
+    return false;
+  const char *first = NULL;
+  for (guint i = 0; core->types && i < core->types->len; i++)
+    {
+      const MhMachineType *t = g_ptr_array_index (core->types, i);
+      for (char **zone = t->zones; mh_place_type_fits (s, t) && zone && *zone; zone++)
+        if (first && strcmp (first, *zone) != 0)
+          return true;
+        else
+          first = *zone;
+    }
+  return false;
+}
+
+/* ---- the life of an attempt ---- */
+
+/* Every place of the attempt is on record: a successor must not take a part of it for the whole. */
+bool
+mh_gang_on_record (const MhAttempt *a)
+{
+  const MhJob *job = a->job;
+  if (job->ending || job->n_live < job->spec->tasks)
+    return false;
+  for (guint i = 0; i < job->spec->tasks; i++)
+    {
+      const MhAttempt *other = job->tasks[i].live;
+      if (other->loaded || mh_job_record (a->job, i)->durable < other->need_rev)
+        return false;
+    }
+  return true;
+}
+
+GHashTable *
+mh_gang_table (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static void
+settle_later (MhCore *core, const MhJob *job)
+{
+  g_hash_table_add (core->gangs, g_strdup (job->spec->id));
+}
+
+/* What follows for the others is done in the next step: the caller may be walking over them. */
+void
+mh_gang_task_over (MhCore *core, MhJob *job, bool done)
+{
+  job->ending |= !done;
+  settle_later (core, job);
+}
+
+void
+mh_gang_loaded (MhCore *core, MhJob *job)
+{
+  /* A task that is done, or over, on record: so is the attempt. */
+  if (job->n_done || (job->n_live && job->n_live < job->spec->tasks))
+    mh_gang_task_over (core, job, job->n_done > 0);
+}
+
+/* Where a machine cannot be told directly, its next report may come too late for the gang to save
+   together. */
+static void
+tell_if_late (MhCore *core, const MhJob *job)
+{
+  for (guint i = 0; i < job->spec->tasks; i++)
+    {
+      const MhAttempt *a = job->tasks[i].live;
+      if (a == NULL || !a->ordered || mh_order_reaches (core, a->machine))
+        continue;
+      mh_info (core,
+               "gang %s: %s cannot be told at once; what was done since the last checkpoint "
+               "may be lost",
+               job->spec->id, a->machine->name);
+      return;
+    }
+}
+
+/* All tasks are told together, with the time to save and to wait for each other. */
+void
+mh_gang_stop (MhCore *core, MhJob *job, gint64 grace_us)
+{
+  bool saves = grace_us > 0 && job->n_running;
+  if (saves && !job->ending)
+    tell_if_late (core, job);
+  job->ending = true;
+  for (guint i = 0; i < job->spec->tasks && job->n_live; i++)
+    {
+      MhAttempt *a = job->tasks[i].live;
+      gint64 grace = saves ? grace_us + core->settings->gang_peer_us : 0;
+      if (a == NULL || (a->kill && grace >= a->grace_us))
+        continue;
+      a->kill = true;
+      a->grace_us = grace;
+      a->killed_us = 0;
+      mh_fleet_due (core, a->machine);
+    }
+  settle_later (core, job);
+}
+
+/* They complete together: if one task is done, all are. */
+static void
+complete (MhCore *core, MhJob *job)
+{
+  job->ending = false;
+  for (guint i = 0; i < job->spec->tasks; i++)
+    if (job->tasks[i].live)
+      mh_fleet_attempt_over (core, job->tasks[i].live, true);
+    else if (job->tasks[i].state != MH_TASK_DONE)
+      mh_fleet_task_done (core, job, i);
+}
+
+/* The attempt is over: what is left of it would wait for the others, or notice that one is gone. */
+static void
+end (MhCore *core, MhJob *job)
+{
+  for (guint i = 0; i < job->spec->tasks && job->n_live; i++)
+    {
+      MhAttempt *a = job->tasks[i].live;
+      if (a == NULL)
+        continue;
+      if (!a->ordered && !a->loaded)
+        mh_fleet_attempt_over (core, a, false);
+      else if (!a->kill)
+        {
+          a->kill = true;
+          a->grace_us = 0;
+          a->killed_us = 0;
+          mh_fleet_due (core, a->machine);
+        }
+    }
+  if (job->n_live == 0)
+    {
+      job->ending = false;
+      job->gathering_us = 0;
+    }
+}
+
+static void
+settle (MhCore *core, MhJob *job)
+{
+  if (job->n_done && !job->cancelled)
+    complete (core, job);
+  else
+    end (core, job);
+}
+
+/* One that is not complete when the workers are about to give up would only begin to wait again. */
+static void
+take_back (MhCore *core, MhJob *job)
+{
+  gint64 now = core->now.mono_us;
+  if (job->gathering_us == 0 || job->n_running || job->ending || mh_job_over (job)
+      || now - job->gathering_us < (gint64)((double)core->settings->gang_wait_us * WAIT_SHARE))
+    return;
+  mh_info (core, "gang %s: not complete after %.0f s; taken back", job->spec->id,
+           (double)(now - job->gathering_us) / MH_SECOND_US);
+  for (guint i = 0; i < job->spec->tasks; i++)
+    {
+      const MhAttempt *a = job->tasks[i].live;
+      if (a && a->phase == MH_TASK_FETCHING)
+        a->machine->hold_us = now + LATE_IMAGE_US;
+    }
+  mh_gang_stop (core, job, 0);
+}
+
+void
+mh_gang_step (MhCore *core)
+{
+  /* What is done for one may add to the table. */
+  g_autoptr (GHashTable) ids = g_steal_pointer (&core->gangs);
+  core->gangs = mh_gang_table ();
+  GHashTableIter it;
+  gpointer id, job;
+  g_hash_table_iter_init (&it, ids);
+  while (g_hash_table_iter_next (&it, &id, NULL))
+    if ((job = g_hash_table_lookup (core->jobs, id)) && !((MhJob *)job)->finished)
+      settle (core, job);
+  if (core->now.mono_us < core->gangs_looked_us + LOOK_US)
+    return;
+  core->gangs_looked_us = core->now.mono_us;
+  g_hash_table_iter_init (&it, core->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &job))
+    if (mh_gang_is (job))
+      take_back (core, job);
+}
+
+/* ---- places for all, or for none ---- */
+
+typedef enum
+{
+  ROOM_NOW,
+  ROOM_SOON, /* and what is being stopped leaves */
+  ROOM_MADE, /* and what could be stopped would leave */
+  N_ROOMS
+} Room;
+
+/* A machine, and how many tasks it has room for. */
+typedef struct
+{
+  MhMachine *machine;
+  guint slots[N_ROOMS];
+  guint taken;
+  gint64 wait_us;
+} Site;
+
+typedef struct
+{
+  MhCore *core;
+  MhJob *job;
+  GArray *sites;    /* Site, in the order in which they are taken */
+  GPtrArray *zones; /* distinct, interned */
+} Search;
+
+static guint
+times (double have, double need, guint most)
+{
+  if (need <= 0)
+    return most;
+  double n = (have + 1e-6) / need;
+  return n <= 0 ? 0 : (guint)MIN (n, most);
+}
+
+static guint
+slots_in (const MhSpace *x, const MhJobSpec *s)
+{
+  return times (x->cpus, s->cpus, times (x->gpus, s->gpus, times (x->mem, s->mem_gb, s->tasks)));
+}
+
+static double
+unit_price (const MhMachine *m)
+{
+  return mh_fleet_hourly (m) / MAX (m->type->cpus, 1e-3);
+}
+
+/* The gang begins with its last image; then the cheapest, the one with the least room, the name. */
+static gint
+by_site (gconstpointer a, gconstpointer b)
+{
+  const Site *x = a, *y = b;
+  gint64 wx = x->wait_us / WAIT_STEP_US, wy = y->wait_us / WAIT_STEP_US;
+  if (wx != wy)
+    return wx < wy ? -1 : 1;
+  double px = unit_price (x->machine), py = unit_price (y->machine);
+  if (px != py)
+    return px < py ? -1 : 1;
+  if (x->slots[ROOM_NOW] != y->slots[ROOM_NOW])
+    return x->slots[ROOM_NOW] < y->slots[ROOM_NOW] ? -1 : 1;
+  return strcmp (x->machine->name, y->machine->name);
+}
+
+static void
+look (Search *f, const GPtrArray *usable)
+{
+  const MhJobSpec *s = f->job->spec;
+  for (guint i = 0; i < usable->len; i++)
+    {
+      MhMachine *m = g_ptr_array_index (usable, i);
+      if ((m->spot && !s->spot) || (f->job->zone && f->job->zone != m->zone)
+          || !mh_place_type_fits (s, m->type))
+        continue;
+      MhSpace now = mh_place_free (m), could, soon = mh_place_space (f->job, m, &could);
+      Site site = { .machine = m,
+                    .slots = { slots_in (&now, s), slots_in (&soon, s),
+                               s->gpus > 0 ? 0 : slots_in (&could, s) } };
+      if (site.slots[ROOM_NOW] + site.slots[ROOM_SOON] + site.slots[ROOM_MADE] == 0)
+        continue;
+      site.wait_us = mh_fleet_image_wait (f->core, m, f->job->image, s->image_gb);
+      g_array_append_val (f->sites, site);
+      if (!g_ptr_array_find (f->zones, m->zone, NULL))
+        g_ptr_array_add (f->zones, m->zone);
+    }
+  g_array_sort (f->sites, by_site);
+}
+
+/* Takes room for as many tasks as there is in the zone (NULL: in all), at most half in one zone
+   where the gang is scattered. The first image and the last must come within what the workers wait.
+ */
+static guint
+take (Search *f, const char *zone, Room room, gint64 *last_us)
+{
+  const MhJobSpec *s = f->job->spec;
+  guint taken = 0, most = s->scatter ? (s->tasks + 1) / 2 : s->tasks;
+  g_autofree guint *in_zone = g_new0 (guint, f->zones->len + 1);
+  gint64 first = -1, apart = (gint64)((double)f->core->settings->gang_wait_us * APART_SHARE);
+  *last_us = 0;
+  for (guint i = 0; i < f->sites->len; i++)
+    {
+      Site *site = &g_array_index (f->sites, Site, i);
+      guint z = 0;
+      site->taken = 0;
+      if ((zone && site->machine->zone != zone) || site->slots[room] == 0 || taken == s->tasks
+          || (first >= 0 && site->wait_us - first > apart))
+        continue;
+      g_ptr_array_find (f->zones, site->machine->zone, &z);
+      site->taken = MIN (MIN (site->slots[room], s->tasks - taken), most - in_zone[z]);
+      if (site->taken == 0)
+        continue;
+      in_zone[z] += site->taken;
+      taken += site->taken;
+      first = first < 0 ? site->wait_us : first;
+      *last_us = MAX (*last_us, site->wait_us);
+    }
+  return taken;
+}
+
+/* The best zone in which all tasks have room of that kind, taken; false: there is none. */
+static bool
+take_best (Search *f, Room room, const char **best_zone)
+{
+  gint64 last, best_last = G_MAXINT64;
+  bool found = false;
+  guint groups = f->job->spec->one_zone ? f->zones->len : MIN (f->zones->len, 1);
+  for (guint i = 0; i < groups; i++)
+    {
+      const char *zone = f->job->spec->one_zone ? g_ptr_array_index (f->zones, i) : NULL;
+      if (take (f, zone, room, &last) < f->job->spec->tasks || last >= best_last)
+        continue;
+      best_last = last;
+      *best_zone = zone;
+      found = true;
+    }
+  if (found)
+    take (f, *best_zone, room, &last);
+  return found;
+}
+
+static void
+start (Search *f)
+{
+  MhJob *job = f->job;
+  guint32 attempt = 0;
+  guint index = 0;
+  for (guint i = 0; i < job->spec->tasks; i++)
+    attempt = MAX (attempt, job->tasks[i].attempt);
+  job->ending = false;
+  job->gathering_us = 0;
+  for (guint i = 0; i < f->sites->len; i++)
+    {
+      const Site *site = &g_array_index (f->sites, Site, i);
+      for (guint k = 0; k < site->taken; k++)
+        mh_place_start (f->core, job, index++, attempt + 1, site->machine, MH_URGENCY_USER);
+    }
+}
+
+static void
+promise_taken (Search *f)
+{
+  for (guint i = 0; i < f->sites->len; i++)
+    {
+      const Site *site = &g_array_index (f->sites, Site, i);
+      if (site->taken)
+        mh_place_promise (site->machine, f->job->spec, site->taken);
+    }
+}
+
+/* Stops lesser work for as many tasks as the taken sites have no room for. */
+static void
+make_room (Search *f)
+{
+  const MhJobSpec *s = f->job->spec;
+  g_autoptr (GPtrArray) victims = g_ptr_array_new ();
+  for (guint i = 0; i < f->sites->len; i++)
+    {
+      const Site *site = &g_array_index (f->sites, Site, i);
+      if (site->taken <= site->slots[ROOM_SOON])
+        continue;
+      MhSpace could, soon = mh_place_space (f->job, site->machine, &could);
+      mh_place_victims (f->core, f->job, site->machine, soon, site->taken, victims);
+      for (guint k = 0; k < victims->len; k++)
+        {
+          MhAttempt *a = g_ptr_array_index (victims, k);
+          mh_info (f->core, "task %s/%u: stopped on %s to make room for gang %s", a->job->spec->id,
+                   a->index, site->machine->name, s->id);
+          mh_fleet_kill (f->core, a, mh_job_grace_us (a->job));
+        }
+    }
+}
+
+/* Holds what is free where it has the most of it: machines come and fall free one by one, and each
+   would be taken by smaller work before the next one is there. */
+static void
+hold (Search *f)
+{
+  gint64 last;
+  const char *best = NULL;
+  guint most = 0;
+  for (guint i = 0; i < f->zones->len; i++)
+    {
+      const char *zone = g_ptr_array_index (f->zones, i);
+      guint n = take (f, zone, ROOM_NOW, &last);
+      if (n > most)
+        {
+          most = n;
+          best = zone;
+        }
+    }
+  if (best == NULL)
+    return;
+  f->job->held = take (f, best, ROOM_NOW, &last);
+  f->job->held_zone = f->job->spec->one_zone ? best : NULL;
+  promise_taken (f);
+}
+
+MhGangPlaced
+mh_gang_place (MhCore *core, MhJob *job, const GPtrArray *usable, bool may_preempt)
+{
+  const MhJobSpec *s = job->spec;
+  const char *zone = NULL;
+  job->held = 0;
+  job->held_zone = NULL;
+  if (job->n_live || job->ending
+      || !mh_place_quota_fits (core, job, s->cpus * s->tasks, s->gpus * s->tasks))
+    return MH_GANG_WAITS;
+  Search f = { .core = core,
+               .job = job,
+               .sites = g_array_new (FALSE, FALSE, sizeof (Site)),
+               .zones = g_ptr_array_new () };
+  MhGangPlaced placed = MH_GANG_WAITS;
+  look (&f, usable);
+  if (take_best (&f, ROOM_NOW, &zone))
+    {
+      start (&f);
+      placed = MH_GANG_STARTED;
+    }
+  else if (take_best (&f, ROOM_SOON, &zone))
+    promise_taken (&f);
+  else if (may_preempt && take_best (&f, ROOM_MADE, &zone))
+    {
+      make_room (&f);
+      promise_taken (&f);
+      placed = MH_GANG_PREEMPTED;
+    }
+  else if (job->starved || core->now.mono_us - job->wanted_us < HOLD_US)
+    hold (&f);
+  g_array_unref (f.sites);
+  g_ptr_array_unref (f.zones);
+  return placed;
+}
--- a/src/job.c
+++ b/src/job.c
@@ -1,8 +1,9 @@
 #include "core-private.h"
 
-/* Of a record, in JSON, at the most: a task, and what is neither job nor task. */
-#define TASK_JSON 56u
-#define RECORD_JSON 300u
+/* Of a record, in JSON: a task, with a machine's name of sixteen characters, and what is neither
+   job nor task. A record that turns out larger is laid out anew. */
+#define TASK_JSON 40u
+#define RECORD_JSON 200u
 #define LEAST_CHUNK 16u
 /* A larger record would be written whole for ever smaller parts of it. */
 #define LARGEST_CHUNK 512u
--- a/src/order.c
+++ b/src/order.c
@@ -101,7 +101,7 @@
 {
   const MhRecord *r = mh_job_record (a->job, a->index);
   return !a->seen && !a->kill && !a->loaded && r->durable >= a->need_rev && !mh_job_over (a->job)
-         && !a->machine->releasing;
+         && !a->machine->releasing && (!mh_gang_is (a->job) || mh_gang_on_record (a));
 }
 
 /* Starts and stops for a machine. Directly, only what has not been said before. */
@@ -257,7 +257,7 @@
 {
   NO_ORDERS,
   PATIENT_ORDERS,
-  URGENT_ORDERS /* a replica starts, or room is made for one */
+  URGENT_ORDERS /* a replica or a gang starts, or room is made */
 } Orders;
 
 static Orders
@@ -267,10 +267,10 @@
   for (guint i = 0; i < m->attempts->len; i++)
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
-      bool service = a->job->spec->shape == MH_SHAPE_SERVICE;
+      bool waited_for = a->job->spec->shape != MH_SHAPE_ARRAY;
       if (a->kill ? a->killed_us != 0 : a->ordered || !may_start (a))
         continue;
-      if (a->kill ? !mh_job_over (a->job) : service)
+      if (a->kill ? !mh_job_over (a->job) : waited_for)
         return URGENT_ORDERS;
       found = PATIENT_ORDERS;
     }
@@ -286,15 +286,21 @@
   return false;
 }
 
+bool
+mh_order_reaches (const MhCore *core, const MhMachine *m)
+{
+  return core->settings->direct && !m->direct && m->reported && !m->releasing && m->endpoint
+         && !m->ignored && !mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
+         && !anything_lost (m);
+}
+
 /* `epoch_only`: no order, but the worker learns of this leader, and so does a former one that it
    still reports to. */
 void
 mh_order_send (MhCore *core, MhMachine *m, bool epoch_only)
 {
   /* One at a time, and none to a machine that may not be there. Its next report will carry them. */
-  if (!core->settings->direct || m->direct || !m->reported || m->releasing || m->endpoint == NULL
-      || m->ignored || mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
-      || anything_lost (m))
+  if (!mh_order_reaches (core, m))
     return;
   Orders unsaid = unsaid_orders (m);
   if (!epoch_only
--- a/src/place.c
+++ b/src/place.c
@@ -156,6 +156,14 @@
          && core->now.mono_us >= m->hold_us && !mh_silence_overdue (core, m);
 }
 
+MhSpace
+mh_place_free (const MhMachine *m)
+{
+  return (MhSpace){ .cpus = m->type->cpus - m->used_cpus - m->promised_cpus,
+                    .gpus = m->type->gpus - m->used_gpus,
+                    .mem = m->type->mem_gb - m->used_mem - m->promised_mem };
+}
+
 static double
 free_cpus (const MhMachine *m)
 {
@@ -165,9 +173,8 @@
 static bool
 has_room (const MhMachine *m, const MhJobSpec *s)
 {
-  return s->cpus <= free_cpus (m) - m->promised_cpus + EPSILON
-         && s->gpus <= m->type->gpus - m->used_gpus + EPSILON
-         && s->mem_gb <= m->type->mem_gb - m->used_mem - m->promised_mem + EPSILON;
+  MhSpace x = mh_place_free (m);
+  return s->cpus <= x.cpus + EPSILON && s->gpus <= x.gpus + EPSILON && s->mem_gb <= x.mem + EPSILON;
 }
 
 static double
@@ -373,19 +380,26 @@
   return p->task < p->job->spec->tasks;
 }
 
+MhAttempt *
+mh_place_start (MhCore *core, MhJob *job, guint index, guint32 attempt, MhMachine *m, guint urgency)
+{
+  MhAttempt *a = mh_fleet_attempt_new (core, job, index, attempt, m);
+  MhRecord *r = mh_job_record (job, index);
+  mh_store_touch (core, r, urgency);
+  a->need_rev = r->rev;
+  mh_debug (core, "task %s/%u: attempt %u on %s (%s%s)", job->spec->id, index, a->attempt, m->name,
+            m->zone, mh_fleet_cached (m, job->image) ? ", image there" : "");
+  return a;
+}
+
 static void
 start (Placing *p, Candidate *c)
 {
-  MhAttempt *a = mh_fleet_attempt_new (p->core, p->job, p->task, p->job->tasks[p->task].attempt + 1,
-                                       c->machine);
-  MhRecord *r = mh_job_record (p->job, p->task);
-  mh_store_touch (p->core, r, p->spread ? MH_URGENCY_USER : MH_URGENCY_START);
-  a->need_rev = r->rev;
+  MhAttempt *a = mh_place_start (p->core, p->job, p->task, p->job->tasks[p->task].attempt + 1,
+                                 c->machine, p->spread ? MH_URGENCY_USER : MH_URGENCY_START);
   a->first = p->job->starved;
   c->crowd = crowd_of (p->core, c->machine);
   g_array_index (p->zones, MhZoneCount, c->zone).count++;
-  mh_debug (p->core, "task %s/%u: attempt %u on %s (%s%s)", p->job->spec->id, p->task, a->attempt,
-            c->machine->name, c->machine->zone, c->wait_us ? "" : ", image there");
 }
 
 /* The first in the order of the walk that fits. */
@@ -469,6 +483,9 @@
 {
   const MhJobSpec *s = a->job->spec;
   double ran = a->running_us ? (double)(core->now.mono_us - a->running_us) / MH_SECOND_US : 0;
+  /* One task of a gang costs the whole of it. */
+  if (mh_gang_is (a->job))
+    return s->tasks * s->cpus * (1 + ran) * (1 + RANK_LOSS * s->priority);
   return s->cpus * (1 + ran) * (1 + RANK_LOSS * s->priority);
 }
 
@@ -479,39 +496,33 @@
   return x < y ? -1 : x > y;
 }
 
-static void
-promise (MhMachine *m, const MhJobSpec *s)
+void
+mh_place_promise (MhMachine *m, const MhJobSpec *s, guint n)
 {
-  m->promised_cpus += s->cpus;
-  m->promised_mem += s->mem_gb;
+  m->promised_cpus += s->cpus * n;
+  m->promised_mem += s->mem_gb * n;
 }
 
-/* What a machine has free, is being freed, and could be. */
-typedef struct
-{
-  double cpus, mem;
-} Space;
-
 static bool
-enough (const Space *x, const MhJobSpec *s)
+enough (const MhSpace *x, const MhJobSpec *s, guint n)
 {
-  return s->cpus <= x->cpus + EPSILON && s->mem_gb <= x->mem + EPSILON;
+  return s->cpus * n <= x->cpus + EPSILON && s->mem_gb * n <= x->mem + EPSILON;
 }
 
 static void
-add_task (Space *x, const MhJobSpec *s)
+add_task (MhSpace *x, const MhJobSpec *s)
 {
   x->cpus += s->cpus;
+  x->gpus += s->gpus;
   x->mem += s->mem_gb;
 }
 
 /* Room that is being freed already counts, so that one need is not met twice. */
-static Space
-space_of (const MhJob *wants, const MhMachine *m, Space *could)
+MhSpace
+mh_place_space (const MhJob *wants, const MhMachine *m, MhSpace *could)
 {
-  Space x = { .cpus = free_cpus (m) - m->promised_cpus,
-              .mem = m->type->mem_gb - m->used_mem - m->promised_mem };
-  *could = (Space){ 0 };
+  MhSpace x = mh_place_free (m);
+  *could = (MhSpace){ 0 };
   for (guint i = 0; i < m->attempts->len; i++)
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
@@ -521,26 +532,27 @@
         add_task (could, a->job->spec);
     }
   could->cpus += x.cpus;
+  could->gpus += x.gpus;
   could->mem += x.mem;
   return x;
 }
 
-/* The tasks with the least loss that make enough room; the sum of what is lost. */
-static double
-choose_victims (const Placing *p, const MhMachine *m, Space x, GPtrArray *victims)
+double
+mh_place_victims (MhCore *core, const MhJob *wants, const MhMachine *m, MhSpace x, guint n,
+                  GPtrArray *victims)
 {
   g_autoptr (GPtrArray) able = g_ptr_array_new ();
   double loss = 0;
   for (guint j = 0; j < m->attempts->len; j++)
-    if (may_stop (p->job, mh_machine_attempt (m, j)))
+    if (may_stop (wants, mh_machine_attempt (m, j)))
       g_ptr_array_add (able, mh_machine_attempt (m, j));
-  g_ptr_array_sort_with_data (able, by_loss, p->core);
+  g_ptr_array_sort_with_data (able, by_loss, core);
   g_ptr_array_set_size (victims, 0);
-  for (guint j = 0; j < able->len && !enough (&x, p->job->spec); j++)
+  for (guint j = 0; j < able->len && !enough (&x, wants->spec, n); j++)
     {
       MhAttempt *a = g_ptr_array_index (able, j);
       add_task (&x, a->job->spec);
-      loss += loss_of (p->core, a);
+      loss += loss_of (core, a);
       g_ptr_array_add (victims, a);
     }
   return loss;
@@ -555,13 +567,14 @@
   for (guint i = 0; i < p->pass->usable->len; i++)
     {
       MhMachine *m = g_ptr_array_index (p->pass->usable, i);
-      Space could;
+      MhSpace could;
       if (!admits (p, m))
         continue;
-      Space x = space_of (p->job, m, &could);
-      if (enough (&x, s) && mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb) <= wait_us)
+      MhSpace x = mh_place_space (p->job, m, &could);
+      if (enough (&x, s, 1)
+          && mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb) <= wait_us)
         {
-          promise (m, s);
+          mh_place_promise (m, s, 1);
           return true;
         }
     }
@@ -580,16 +593,17 @@
   for (guint i = 0; i < p->pass->usable->len; i++)
     {
       MhMachine *m = g_ptr_array_index (p->pass->usable, i);
-      Space could;
+      MhSpace could;
       if (!admits (p, m))
         continue;
-      Space x = space_of (p->job, m, &could);
-      if (!enough (&could, s))
+      MhSpace x = mh_place_space (p->job, m, &could);
+      if (!enough (&could, s, 1))
         continue;
       gint64 wait = mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb);
       if (wait > wait_us)
         continue;
-      double loss = (double)wait / MH_SECOND_US + choose_victims (p, m, x, victims);
+      double loss
+          = (double)wait / MH_SECOND_US + mh_place_victims (p->core, p->job, m, x, 1, victims);
       if (loss >= best_loss)
         continue;
       best = m;
@@ -602,9 +616,8 @@
      would be made: at the start of a day one service had eighty tasks stopped so. */
   if (better_wait (p, best_wait))
     return true;
-  Space could;
-  Space x = space_of (p->job, best, &could);
-  choose_victims (p, best, x, victims);
+  MhSpace could, x = mh_place_space (p->job, best, &could);
+  mh_place_victims (p->core, p->job, best, x, 1, victims);
   for (guint i = 0; i < victims->len; i++)
     {
       MhAttempt *a = g_ptr_array_index (victims, i);
@@ -612,7 +625,7 @@
                best->name, s->id);
       mh_fleet_kill (p->core, a, mh_job_grace_us (a->job));
     }
-  promise (best, s);
+  mh_place_promise (best, s, 1);
   return true;
 }
 
@@ -715,6 +728,20 @@
     }
 }
 
+/* Machines that have not reported yet may have room; running tasks end by themselves. */
+static bool
+may_make_room (MhCore *core, const MhJob *job, gint64 patience)
+{
+  if (!core->leader.rebuilt || (mh_queue_tier (job) == 3 && job->spec->priority <= MH_PRIORITY_LOW))
+    return false;
+  if (job->spec->shape != MH_SHAPE_SERVICE && core->now.mono_us - job->wanted_us < patience / 3)
+    {
+      mh_core_wake_at (core, job->wanted_us + patience / 3);
+      return false;
+    }
+  return true;
+}
+
 /* Stops other tasks for what found none. */
 static void
 make_room (Placing *p)
@@ -722,14 +749,8 @@
   MhCore *core = p->core;
   MhJob *job = p->job;
   const MhJobSpec *s = job->spec;
-  /* Machines that have not reported yet may have room; running tasks end by themselves. */
-  if (!core->leader.rebuilt || (mh_queue_tier (job) == 3 && s->priority <= MH_PRIORITY_LOW))
+  if (!may_make_room (core, job, p->patience))
     return;
-  if (!p->spread && core->now.mono_us - job->wanted_us < p->patience / 3)
-    {
-      mh_core_wake_at (core, job->wanted_us + p->patience / 3);
-      return;
-    }
   double cpus = 0;
   for (guint n = mh_job_pending (job); n > p->made; n--)
     {
@@ -760,7 +781,23 @@
         best = m;
     }
   if (best)
-    promise (best, s);
+    mh_place_promise (best, s, 1);
+}
+
+static void
+place_gang (Pass *pass, MhJob *job)
+{
+  MhCore *core = pass->core;
+  bool may_preempt = pass->may_preempt && pass->preemptions < PREEMPTIONS_PER_PASS
+                     && may_make_room (core, job, mh_queue_patience_us (core, job));
+  MhGangPlaced placed = mh_gang_place (core, job, pass->usable, may_preempt);
+  if (placed == MH_GANG_STARTED)
+    pass->starts += job->spec->tasks;
+  if (placed == MH_GANG_PREEMPTED)
+    {
+      pass->preemptions++;
+      core->preempted_us = core->now.mono_us;
+    }
 }
 
 static void
@@ -775,6 +812,11 @@
   if (!counts_known (core, job)
       || !mh_place_quota_fits (core, job, job->spec->cpus, job->spec->gpus))
     return;
+  if (mh_gang_is (job))
+    {
+      place_gang (pass, job);
+      return;
+    }
   g_autoptr (GArray) candidates = g_array_new (FALSE, FALSE, sizeof (Candidate));
   g_autoptr (GArray) zones = g_array_new (FALSE, FALSE, sizeof (MhZoneCount));
   g_autofree guint *zone_of = g_new0 (guint, pass->zones->len + 1);
--- a/src/scale.c
+++ b/src/scale.c
@@ -608,7 +608,7 @@
 {
   const MhJobSpec *s = job->spec;
   gint64 now = core->now.mono_us;
-  if (s->shape == MH_SHAPE_SERVICE)
+  if (s->shape != MH_SHAPE_ARRAY)
     return 0;
   gint64 soonest = G_MAXINT64;
   for (guint i = 0; i < core->types->len; i++)
@@ -653,6 +653,15 @@
   /* Tasks that stay together go to one zone, which their first room decides: what was rented for
      them elsewhere, while some ran, was of no use to them, and they waited on. */
   const char *zone = mh_place_only_zone (job);
+  /* What is held for a gang is there already, and the rest has to come beside it. One that is being
+     stopped will find its own room again. */
+  if (mh_gang_is (job))
+    {
+      if (job->n_live || n < s->tasks)
+        return;
+      n -= MIN (n, job->held);
+      zone = job->held_zone ? job->held_zone : zone;
+    }
   for (guint i = 0; i < plan->rooms->len && n > 0; i++)
     {
       Room *r = &g_array_index (plan->rooms, Room, i);
--- a/src/settings.c
+++ b/src/settings.c
@@ -155,13 +155,24 @@
     if (!(positive[i].value > 0) || !isfinite (positive[i].value))
       return fail (error, "%s is missing or not positive", positive[i].name);
   /* Two puts in one transaction are the least with which leadership can be taken. */
-  if (s->txn_ops < 2)
+  if (s->txn_ops < 2 || s->next_txn_ops == 1)
     return fail (error, "settings.state.txn_ops must be at least 2");
   if (s->lease_us < 500000 || s->lease_us > 60 * MH_SECOND_US)
     return fail (error, "lease_s must be between 0.5 and 60");
   if (s->max_skew == 0)
     return fail (error, "max_skew must be at least 1");
+  /* Nobody is told when the next limits hold, and a new leader cannot know: what is written keeps
+     to the smaller sizes from the start. */
+  if (s->next_value_bytes)
+    s->value_bytes = MIN (s->value_bytes, s->next_value_bytes);
+  if (s->next_txn_ops)
+    s->txn_ops = MIN (s->txn_ops, s->next_txn_ops);
   s->batch = CLAMP (s->batch, 2, s->txn_ops);
+  /* Settings of before there were gangs name neither. */
+  if (s->gang_wait_us == 0)
+    s->gang_wait_us = 50 * MH_SECOND_US;
+  if (s->gang_peer_us == 0)
+    s->gang_peer_us = 5 * MH_SECOND_US;
   if (s->silence_us == 0)
     s->silence_us = MAX (3 * s->report_us + MH_SECOND_US, s->worker_lease_us / 2);
   return true;
--- a/src/settings.h
+++ b/src/settings.h
@@ -45,8 +45,13 @@
   GPtrArray *teams;      /* MhTeam */
   GPtrArray *objectives; /* MhObjective */
   gint64 report_us, worker_lease_us, cancel_us, list_lag_us;
+  gint64 gang_wait_us,
+      gang_peer_us; /* for the gang to be complete; to tell all, or notice a loss */
   double state_rps, state_write_rps, cloud_rps;
-  guint value_bytes, txn_ops;
+  guint value_bytes, txn_ops; /* once checked, the lower ones of those now and next */
+  /* What the state service will hold to from some moment on, without notice; 0: as now. */
+  double next_write_rps;
+  guint next_value_bytes, next_txn_ops;
   double core_share; /* of a processor */
   guint max_connections;
   /* the operator's */
--- a/src/store.c
+++ b/src/store.c
@@ -146,6 +146,12 @@
   g_hash_table_remove (core->jobs, job->spec->id);
 }
 
+static const char *
+shape_name (MhShape shape)
+{
+  return shape == MH_SHAPE_SERVICE ? "service" : shape == MH_SHAPE_GANG ? "gang" : "array";
+}
+
 static void
 write_done (MhCore *core, const Write *w, guint64 stamp)
 {
@@ -164,8 +170,8 @@
       if (!job->accepted)
         mh_info (core, "job %s: accepted after %d ms: %s of %u tasks for %s (%s)", job->spec->id,
                  (int)((core->now.mono_us - job->submitted_us) / 1000),
-                 job->spec->shape == MH_SHAPE_SERVICE ? "service" : "array", job->spec->tasks,
-                 job->spec->team, job->spec->class_name);
+                 shape_name (job->spec->shape), job->spec->tasks, job->spec->team,
+                 job->spec->class_name);
       core->place_wanted |= !job->accepted;
       core->place_urgent |= !job->accepted && job->spec->shape == MH_SHAPE_SERVICE;
       job->accepted = true;
--- a/src/toml-file.cpp
+++ b/src/toml-file.cpp
@@ -114,6 +114,12 @@
   s->state_write_rps = number (p["state"]["write_rps"]);
   s->value_bytes = (guint)(CLAMP (number (p["state"]["value_kb"]), 0.0, 65536.0) * 1024);
   s->txn_ops = (guint)CLAMP (number (p["state"]["txn_ops"]), 0.0, 1000.0);
+  auto next = p["state"]["next"];
+  s->next_write_rps = MAX (number (next["write_rps"]), 0.0);
+  s->next_value_bytes = (guint)(CLAMP (number (next["value_kb"]), 0.0, 65536.0) * 1024);
+  s->next_txn_ops = (guint)CLAMP (number (next["txn_ops"]), 0.0, 1000.0);
+  s->gang_wait_us = micros (p["workers"]["gang_wait_s"]);
+  s->gang_peer_us = micros (p["workers"]["gang_peer_s"]);
   s->cloud_rps = number (p["cloud"]["rps"]);
   s->list_lag_us = micros (p["cloud"]["list_lag_s"]);
   double share = number (p["resources"]["core_share"]);
--- a/src/types.h
+++ b/src/types.h
@@ -11,7 +11,8 @@
 typedef enum
 {
   MH_SHAPE_ARRAY,
-  MH_SHAPE_SERVICE
+  MH_SHAPE_SERVICE,
+  MH_SHAPE_GANG /* all tasks run at the same time, or none does */
 } MhShape;
 
 typedef enum
@@ -55,6 +56,7 @@
 typedef enum
 {
   MH_TASK_FETCHING,
+  MH_TASK_GATHERING, /* of a gang: has its image, and waits for the others */
   MH_TASK_RUNNING,
   MH_TASK_SAVING,
   MH_TASK_ENDED
@@ -68,7 +70,9 @@
   MH_CAUSE_ERROR,
   MH_CAUSE_NO_ROOM,
   MH_CAUSE_BUSY,
-  MH_CAUSE_UNKNOWN
+  MH_CAUSE_UNKNOWN,
+  MH_CAUSE_PEERS,     /* of a gang: another task is gone */
+  MH_CAUSE_INCOMPLETE /* of a gang: the others did not come in time */
 } MhCause;
 
 /* One task in a worker's report. */
--- a/src/wire.c
+++ b/src/wire.c
@@ -421,23 +421,25 @@
   int value;
 } Word;
 
-static const Word shapes[] = { { "sweep", MH_SHAPE_ARRAY }, { "service", MH_SHAPE_SERVICE }, {} };
+static const Word shapes[] = {
+  { "sweep", MH_SHAPE_ARRAY }, { "service", MH_SHAPE_SERVICE }, { "group", MH_SHAPE_GANG }, {}
+};
 static const Word ranks[] = { { "best_effort", MH_PRIORITY_LOW },
                               { "normal", MH_PRIORITY_NORMAL },
                               { "urgent", MH_PRIORITY_HIGH },
                               { "critical", MH_PRIORITY_CRITICAL },
                               {} };
-static const Word phases[] = { { "pulling", MH_TASK_FETCHING },
-                               { "running", MH_TASK_RUNNING },
-                               { "saving", MH_TASK_SAVING },
-                               { "ended", MH_TASK_ENDED },
-                               {} };
+static const Word phases[] = { { "pulling", MH_TASK_FETCHING }, { "gathering", MH_TASK_GATHERING },
+                               { "running", MH_TASK_RUNNING },  { "saving", MH_TASK_SAVING },
+                               { "ended", MH_TASK_ENDED },      {} };
 static const Word causes[] = { { "done", MH_CAUSE_DONE },
                                { "stopped", MH_CAUSE_STOPPED },
                                { "error", MH_CAUSE_ERROR },
                                { "full", MH_CAUSE_NO_ROOM },
                                { "in_use", MH_CAUSE_BUSY },
                                { "no_such", MH_CAUSE_UNKNOWN },
+                               { "peers", MH_CAUSE_PEERS },
+                               { "incomplete", MH_CAUSE_INCOMPLETE },
                                {} };
 static const Word listed[] = { { "starting", MH_LISTED_STARTING },
                                { "running", MH_LISTED_RUNNING },
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1045,6 +1045,20 @@
   return sim;
 }
 
+void
+sim_limit (Sim *sim, guint value_bytes, guint txn_ops)
+{
+  for (guint i = 0; i < SIM_NODES; i++)
+    {
+      sim_stop_node (sim, i);
+      sim->nodes[i].settings->value_bytes = value_bytes;
+      sim->nodes[i].settings->txn_ops = sim->nodes[i].settings->batch = txn_ops;
+      sim_start_node (sim, i);
+    }
+  sim->settings->value_bytes = value_bytes;
+  sim->settings->txn_ops = txn_ops;
+}
+
 void
 sim_free (Sim *sim)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -89,6 +89,9 @@
 sim_new (guint32 seed);
 void
 sim_free (Sim *sim);
+/* What the state service takes, and what all controllers are told; those start again. */
+void
+sim_limit (Sim *sim, guint value_bytes, guint txn_ops);
 void
 sim_run (Sim *sim, double seconds);
 /* Runs until `done` says so; false when `seconds` have passed. */
--- /dev/null
+++ b/tests/test-gang.c
@@ -0,0 +1,316 @@
+/* Gangs: all tasks at the same time or none, whatever fails, on a fake clock. */
+#include "steps.h"
+
+#include <string.h>
+
+static void
+finish (Sim *sim)
+{
+  sim_assert_rules (sim);
+  sim_free (sim);
+}
+
+static MhJobSpec *
+gang_spec (guint number, guint tasks, double cpus)
+{
+  MhJobSpec *s = sim_spec (number, MH_SHAPE_GANG, tasks, cpus);
+  s->spot = false;
+  s->one_zone = true;
+  s->estimate_us = 20 * MH_SECOND_US;
+  s->checkpoint_us = 5 * MH_SECOND_US;
+  s->save_us = 2 * MH_SECOND_US;
+  return s;
+}
+
+static bool
+runs (Sim *sim, gpointer data)
+{
+  (void)sim;
+  return ((SimUser *)data)->job->running_attempt != 0;
+}
+
+static SimUser *
+running_gang (Sim *sim, guint number, guint tasks, double cpus, double run_s)
+{
+  SimUser *u = sim_submit (sim, gang_spec (number, tasks, cpus), run_s);
+  WAIT (sim, 60, runs, u);
+  return u;
+}
+
+/* Places for all in one zone, one attempt number, and done together. */
+static void
+test_life (void)
+{
+  Sim *sim = sim_new (1);
+  SimUser *u = running_gang (sim, 1, 6, 2, 10);
+  const WorldMachine *first = worker_of (sim, "j-000001/0")->machine;
+  for (guint i = 1; i < 6; i++)
+    {
+      g_autofree char *leg = g_strdup_printf ("j-000001/%u", i);
+      const WorldMachine *m = worker_of (sim, leg)->machine;
+      g_assert_cmpstr (m->zone, ==, first->zone);
+      g_assert_cmpuint (g_array_index (m->tasks, WorldTask, 0).attempt, ==, 1);
+    }
+  WAIT (sim, 40, told_done, u);
+  g_assert_cmpuint (sim->world->starts, ==, 6);
+  finish (sim);
+}
+
+static void
+test_refusals (void)
+{
+  Sim *sim = sim_new (2);
+  MhUserAnswer a;
+  sim_run (sim, 5);
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000001", gang_spec (1, 17, 1), &a), ==,
+                    422); /* of 16 */
+  MhJobSpec *s = gang_spec (2, 2, 1);
+  s->scatter = true; /* and in one zone */
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000002", s, &a), ==, 422);
+  s = gang_spec (3, 4, 1);
+  s->one_zone = false;
+  s->scatter = true;
+  s->zone = g_strdup ("a");
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000003", s, &a), ==, 422);
+  s = gang_spec (4, 1, 1);
+  s->mem_gb = 100;
+  g_assert_cmpuint (sim_ask (sim, 0, MH_USER_SUBMIT, "j-000004", s, &a), ==, 422);
+  s = gang_spec (5, 4, 1);
+  s->one_zone = false;
+  s->scatter = true;
+  SimUser *u = sim_submit (sim, s, 3);
+  WAIT (sim, 60, told_done, u);
+  finish (sim);
+}
+
+/* While there is room for a part only, nothing of it is started, and smaller work does not keep it
+   from its room for ever. */
+static void
+test_all_or_none (void)
+{
+  Sim *sim = sim_new (3);
+  sim->world->capacity = 2;
+  sim->world->zones = 1;
+  MhJobSpec *s = gang_spec (1, 4, 2); /* two whole small machines */
+  s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+  s->spot = true;
+  SimUser *small[6];
+  for (guint i = 0; i < G_N_ELEMENTS (small); i++)
+    {
+      MhJobSpec *other = sim_spec (10 + i, MH_SHAPE_ARRAY, 4, 1);
+      other->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+      other->priority = MH_PRIORITY_LOW;
+      small[i] = sim_submit (sim, other, 4 + i);
+    }
+  sim_run (sim, 10);
+  SimUser *u = sim_submit (sim, s, 5);
+  guint parts = 0;
+  for (guint i = 0; i < 600 && !u->told_done; i++)
+    {
+      guint n = world_running (sim->world, "j-000001");
+      parts += n > 0 && n < 4 && u->job->n_done == 0;
+      sim_run (sim, 0.1);
+    }
+  g_assert_true (u->told_done);
+  g_assert_cmpuint (parts, <=, 10); /* only until the orders are there: a second */
+  for (guint i = 0; i < G_N_ELEMENTS (small); i++)
+    WAIT (sim, 120, told_done, small[i]);
+  finish (sim);
+}
+
+/* Two gangs, each of which needs most of what there is, do not hold room from each other. */
+static void
+test_two_gangs (void)
+{
+  Sim *sim = sim_new (4);
+  sim->world->capacity = 2;
+  sim->world->zones = 1;
+  SimUser *users[4];
+  for (guint i = 0; i < G_N_ELEMENTS (users); i++)
+    {
+      MhJobSpec *s = gang_spec (1 + i, 3, 2);
+      s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+      users[i] = sim_submit (sim, s, 5);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (users); i++)
+    WAIT (sim, 200, told_done, users[i]);
+  g_assert_cmpuint (sim->world->starts, ==, 12); /* each once */
+  finish (sim);
+}
+
+/* No start leaves before all places are on record. */
+static void
+test_on_record_first (void)
+{
+  Sim *sim = sim_new (5);
+  SimUser *u = sim_submit (sim, gang_spec (1, 4, 1), 20);
+  WAIT (sim, 30, accepted, u);
+  SimNode *leader = sim_leader (sim);
+  leader->writes_lost_us = sim->now_us + 15 * MH_SECOND_US;
+  sim_run (sim, 14);
+  g_assert_cmpuint (sim->world->starts, ==, 0);
+  WAIT (sim, 30, runs, u);
+  WAIT (sim, 60, told_done, u);
+  finish (sim);
+}
+
+/* A machine is lost, hangs or is cut off: the rest ends, and the next attempt begins when the whole
+   of the old one is proven gone. */
+static void
+test_machine_lost (void)
+{
+  for (guint how = 0; how < 4; how++)
+    {
+      Sim *sim = sim_new (6 + how);
+      for (guint i = 0; i < 6; i++)
+        world_add_machine (sim->world, "small", "a", false);
+      MhJobSpec *s = gang_spec (1, 6, 2);
+      s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+      SimUser *u = sim_submit (sim, s, 25);
+      WAIT (sim, 60, runs, u);
+      SimWorker *w = worker_of (sim, "j-000001/0");
+      if (how == 0)
+        {
+          w->machine->failed = true;
+          w->machine->up = false;
+          g_array_set_size (w->machine->tasks, 0);
+        }
+      else if (how == 1)
+        w->machine->hung_until_us = sim->now_us + 100 * MH_SECOND_US;
+      else if (how == 2)
+        w->cut_us = sim->now_us + 60 * MH_SECOND_US;
+      else
+        w->mute_us = sim->now_us + 60 * MH_SECOND_US;
+      WAIT (sim, 200, told_done, u);
+      finish (sim);
+    }
+}
+
+/* A task fails on a faulty machine. */
+static void
+test_task_fails (void)
+{
+  Sim *sim = sim_new (12);
+  for (guint i = 0; i < 4; i++)
+    world_add_machine (sim->world, "small", "a", false);
+  MhJobSpec *s = gang_spec (1, 4, 2);
+  s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+  SimUser *u = sim_submit (sim, s, 15);
+  WAIT (sim, 60, runs, u);
+  worker_of (sim, "j-000001/2")->machine->sick = true;
+  WAIT (sim, 300, told_done, u);
+  finish (sim);
+}
+
+/* Controllers change at every step of a gang's life. */
+static void
+test_leaders_change (void)
+{
+  for (guint step = 0; step < 24; step++)
+    {
+      Sim *sim = sim_new (20 + step);
+      SimUser *u = sim_submit (sim, gang_spec (1, 5, 2), 8);
+      WAIT (sim, 30, accepted, u);
+      sim_run (sim, 0.6 * step);
+      SimNode *leader = sim_leader (sim);
+      guint stopped = leader ? leader->index : 0;
+      sim_stop_node (sim, stopped);
+      sim_run (sim, step % 2 ? 0.2 : 3);
+      sim_start_node (sim, stopped);
+      WAIT (sim, 120, told_done, u);
+      finish (sim);
+    }
+}
+
+/* Cancelled in each phase: it is gone in time, and never starts again. */
+static void
+test_cancel (void)
+{
+  for (guint step = 0; step < 12; step++)
+    {
+      Sim *sim = sim_new (60 + step);
+      SimUser *u = sim_submit (sim, gang_spec (1, 5, 2), 60);
+      WAIT (sim, 30, accepted, u);
+      sim_run (sim, 0.8 * step);
+      sim_withdraw (u);
+      WAIT (sim, 10, told_cancelled, u);
+      sim_run (sim, 50);
+      g_assert_cmpuint (world_running (sim->world, "j-000001"), ==, 0);
+      finish (sim);
+    }
+}
+
+/* Urgent work takes the room of a running gang: all its tasks are told together, and it goes on
+   from what it saved. */
+static void
+test_orderly_stop (void)
+{
+  Sim *sim = sim_new (80);
+  sim->world->capacity = 1;
+  MhJobSpec *s = gang_spec (1, 4, 4);
+  s->types = g_strdupv ((char **)(const char *[]){ "large", NULL });
+  SimUser *u = sim_submit (sim, s, 20);
+  WAIT (sim, 60, runs, u);
+  sim_run (sim, 6);
+  SimUser *urgent = sim_submit (sim, sim_spec (2, MH_SHAPE_SERVICE, 1, 4), 0);
+  WAIT (sim, 20, all_run, urgent);
+  g_assert_cmpuint (u->job->saves, ==, 1);
+  g_assert_cmpint (u->job->saved_us, >, 4 * MH_SECOND_US);
+  sim_withdraw (urgent);
+  WAIT (sim, 90, told_done, u);
+  finish (sim);
+}
+
+/* One machine does not get the image in time: the gang is taken back before its workers give up,
+   and put elsewhere. */
+static void
+test_late_image (void)
+{
+  Sim *sim = sim_new (81);
+  SimUser *u = sim_submit (sim, gang_spec (1, 4, 4), 5);
+  WAIT (sim, 30, accepted, u);
+  for (guint i = 0; i < 400 && worker_of (sim, "j-000001/3") == NULL; i++)
+    sim_run (sim, 0.05);
+  SimWorker *w = worker_of (sim, "j-000001/3");
+  WorldTask *t = &g_array_index (w->machine->tasks, WorldTask, w->machine->tasks->len - 1);
+  t->ready_us = sim->now_us + 300 * MH_SECOND_US;
+  WAIT (sim, 150, told_done, u);
+  g_assert_true (sim_logged (sim, "taken back"));
+  finish (sim);
+}
+
+/* A gang of more tasks than one record holds, under the limits that come next. */
+static void
+test_small_records (void)
+{
+  Sim *sim = sim_new (82);
+  sim_limit (sim, 2048, 5);
+  MhJobSpec *s = gang_spec (1, 60, 0.2);
+  s->mem_gb = 0.1;
+  SimUser *u = sim_submit (sim, s, 8);
+  WAIT (sim, 60, runs, u);
+  g_assert_nonnull (g_tree_lookup (sim->world->keys, "t/j-000001/00001"));
+  sim_stop_node (sim, sim_leader (sim)->index);
+  WAIT (sim, 60, told_done, u);
+  finish (sim);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+#define ADD(name, func) g_test_add_func ("/gang/" name, func)
+  ADD ("life", test_life);
+  ADD ("refusals", test_refusals);
+  ADD ("all-or-none", test_all_or_none);
+  ADD ("two-gangs", test_two_gangs);
+  ADD ("on-record-first", test_on_record_first);
+  ADD ("machine-lost", test_machine_lost);
+  ADD ("task-fails", test_task_fails);
+  ADD ("leaders-change", test_leaders_change);
+  ADD ("cancel", test_cancel);
+  ADD ("orderly-stop", test_orderly_stop);
+  ADD ("late-image", test_late_image);
+  ADD ("small-records", test_small_records);
+  return g_test_run ();
+}
--- a/tests/test-random.c
+++ b/tests/test-random.c
@@ -142,6 +142,13 @@
           MhJobSpec *s = sim_spec (++number, service ? MH_SHAPE_SERVICE : MH_SHAPE_ARRAY,
                                    (guint)g_rand_int_range (r, 1, service ? 4 : 12),
                                    g_rand_int_range (r, 1, 3));
+          if (!service && g_rand_int_range (r, 0, 3) == 0)
+            {
+              s->shape = MH_SHAPE_GANG;
+              s->tasks = (guint)g_rand_int_range (r, 1, 6);
+              s->checkpoint_us = g_rand_int_range (r, 0, 4) * MH_SECOND_US;
+              s->save_us = MH_SECOND_US;
+            }
           if (g_rand_int_range (r, 0, 5) == 0)
             s->one_zone = true;
           else if (g_rand_int_range (r, 0, 5) == 0)
--- a/tests/world.c
+++ b/tests/world.c
@@ -698,6 +698,9 @@
             cpus += oj->spec->cpus;
           if (o == t || strcmp (o->job, t->job) != 0)
             continue;
+          /* Not a rule of the protocol but ours. */
+          if (j->spec->shape == MH_SHAPE_GANG && o->attempt != t->attempt)
+            broken (w, "two attempts of gang %s at once", t->job);
           if (o->index == t->index)
             broken (w, "ran_twice: %s starts on %s while on %s", t->leg, m->name, other->name);
           *(strcmp (other->zone, m->zone) == 0 ? &same_zone : &elsewhere_zone) += 1;
@@ -749,7 +752,9 @@
   else
     {
       bool cached = g_hash_table_contains (m->images, j->spec->image);
-      t.phase = cached ? MH_TASK_RUNNING : MH_TASK_FETCHING;
+      t.phase = !cached                           ? MH_TASK_FETCHING
+                : j->spec->shape == MH_SHAPE_GANG ? MH_TASK_GATHERING
+                                                  : MH_TASK_RUNNING;
       t.ready_us = w->now_us + (cached ? 0 : (gint64)(j->spec->image_gb * 1e6));
       t.end_us = j->run_us ? t.ready_us + j->run_us + j->apart_us * t.index : 0;
     }
@@ -758,6 +763,23 @@
     check_start (w, m, &g_array_index (m->tasks, WorldTask, m->tasks->len - 1), j);
 }
 
+/* A running task of a gang that has checkpoints saves, when it is given the time. */
+static bool
+gang_saves (World *w, WorldTask *t, double grace_s)
+{
+  WorldJob *j = g_hash_table_lookup (w->jobs, t->job);
+  if (t->phase == MH_TASK_SAVING)
+    return grace_s > 0;
+  if (j == NULL || j->spec->shape != MH_SHAPE_GANG || t->phase != MH_TASK_RUNNING
+      || j->spec->checkpoint_us == 0 || grace_s * 1e6 < (double)j->spec->save_us)
+    return false;
+  t->phase = MH_TASK_SAVING;
+  t->told_us = w->now_us;
+  if (j->told_us == 0)
+    j->told_us = w->now_us;
+  return true;
+}
+
 static void
 obey (World *w, WorldMachine *m, const MhValue *orders)
 {
@@ -777,7 +799,11 @@
           WorldTask *t = &g_array_index (m->tasks, WorldTask, k);
           if (strcmp (t->leg, leg) != 0 || t->attempt != attempt)
             continue;
-          if (strcmp (verb, "kill") == 0 && t->phase != MH_TASK_ENDED)
+          double grace = 0;
+          mh_value_get_number (o, "wind_down_s", &grace);
+          if (strcmp (verb, "kill") == 0 && gang_saves (w, t, grace))
+            ;
+          else if (strcmp (verb, "kill") == 0 && t->phase != MH_TASK_ENDED)
             {
               t->phase = MH_TASK_ENDED;
               t->cause = "stopped";
@@ -792,7 +818,7 @@
 MhValue *
 world_report (World *w, WorldMachine *m)
 {
-  static const char *const phases[] = { "pulling", "running", "saving", "ended" };
+  static const char *const phases[] = { "pulling", "gathering", "running", "saving", "ended" };
   MhValue *b = mh_value_map (), *legs = mh_value_list ();
   (void)w;
   m->tick++;
@@ -873,9 +899,10 @@
     {
       WorldTask *t = &g_array_index (m->tasks, WorldTask, i);
       WorldJob *j = g_hash_table_lookup (w->jobs, t->job);
+      bool gang = j && j->spec->shape == MH_SHAPE_GANG;
       if (t->phase == MH_TASK_FETCHING && w->now_us >= t->ready_us)
         {
-          t->phase = MH_TASK_RUNNING;
+          t->phase = gang ? MH_TASK_GATHERING : MH_TASK_RUNNING;
           g_hash_table_add (m->images, g_strdup (j->spec->image));
         }
       if (t->phase == MH_TASK_RUNNING && m->sick && w->now_us >= t->ready_us + MH_SECOND_US)
@@ -883,7 +910,12 @@
           t->phase = MH_TASK_ENDED;
           t->cause = "error";
         }
-      if (t->phase == MH_TASK_RUNNING && t->end_us && w->now_us >= t->end_us)
+      if (t->phase == MH_TASK_GATHERING && w->now_us > t->ready_us + w->settings->gang_wait_us)
+        {
+          t->phase = MH_TASK_ENDED;
+          t->cause = "incomplete";
+        }
+      if (t->phase == MH_TASK_RUNNING && !gang && t->end_us && w->now_us >= t->end_us)
         {
           t->phase = MH_TASK_ENDED;
           t->cause = "done";
@@ -899,6 +931,86 @@
     }
 }
 
+static void
+end_gang (WorldJob *j, GPtrArray *tasks, const char *cause)
+{
+  for (guint i = 0; i < tasks->len; i++)
+    {
+      WorldTask *t = g_ptr_array_index (tasks, i);
+      t->phase = MH_TASK_ENDED;
+      t->cause = cause;
+    }
+  j->running_attempt = 0;
+  j->lacks_us = j->told_us = 0;
+}
+
+/* The tasks of a gang start, save, complete and notice a loss together. */
+static void
+advance_gang (World *w, WorldJob *j)
+{
+  g_autoptr (GPtrArray) tasks = g_ptr_array_new ();
+  const MhJobSpec *s = j->spec;
+  guint ready = 0, saving = 0;
+  guint64 attempt = 0;
+  for (guint i = 0; i < w->machines->len; i++)
+    {
+      const WorldMachine *m = g_ptr_array_index (w->machines, i);
+      for (guint k = 0; k < m->tasks->len && m->up; k++)
+        {
+          WorldTask *t = &g_array_index (m->tasks, WorldTask, k);
+          if (strcmp (t->job, s->id) != 0 || t->phase == MH_TASK_ENDED
+              || w->now_us < m->hung_until_us)
+            continue;
+          attempt = t->attempt;
+          ready += t->phase == MH_TASK_GATHERING;
+          saving += t->phase == MH_TASK_SAVING && w->now_us >= t->told_us + s->save_us;
+          if (t->phase >= MH_TASK_RUNNING)
+            g_ptr_array_add (tasks, t);
+        }
+    }
+  if (ready == s->tasks)
+    {
+      j->running_attempt = attempt;
+      j->since_us = w->now_us;
+      j->told_us = j->lacks_us = 0;
+      for (guint i = 0; i < w->machines->len; i++)
+        {
+          const WorldMachine *m = g_ptr_array_index (w->machines, i);
+          for (guint k = 0; k < m->tasks->len; k++)
+            {
+              WorldTask *t = &g_array_index (m->tasks, WorldTask, k);
+              if (strcmp (t->job, s->id) == 0 && t->phase == MH_TASK_GATHERING)
+                t->phase = MH_TASK_RUNNING;
+            }
+        }
+      return;
+    }
+  if (j->running_attempt == 0 || tasks->len == 0)
+    return;
+  gint64 progress = j->saved_us + (j->told_us ? j->told_us : w->now_us) - j->since_us;
+  if (tasks->len < s->tasks && j->lacks_us == 0)
+    j->lacks_us = w->now_us;
+  if (saving == s->tasks)
+    {
+      j->saved_us = progress;
+      j->saves++;
+      end_gang (j, tasks, "stopped");
+    }
+  else if ((j->lacks_us && w->now_us > j->lacks_us + w->settings->gang_peer_us)
+           || (j->told_us && w->now_us > j->told_us + s->save_us + w->settings->gang_peer_us))
+    {
+      if (s->checkpoint_us)
+        j->saved_us = progress / s->checkpoint_us * s->checkpoint_us;
+      end_gang (j, tasks, "peers");
+    }
+  else if (j->run_us && progress >= j->run_us && j->told_us == 0 && j->lacks_us == 0)
+    {
+      end_gang (j, tasks, "done");
+      memset (j->done, 1, s->tasks);
+      j->n_done = s->tasks;
+    }
+}
+
 void
 world_advance (World *w, gint64 now_us, GArray *woken)
 {
@@ -939,4 +1051,9 @@
     }
   for (guint i = 0; i < w->machines->len; i++)
     advance_machine (w, g_ptr_array_index (w->machines, i));
+  gpointer job;
+  g_hash_table_iter_init (&it, w->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &job))
+    if (((WorldJob *)job)->spec->shape == MH_SHAPE_GANG)
+      advance_gang (w, job);
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -15,6 +15,7 @@
   MhTaskPhase phase;
   const char *cause;
   gint64 ready_us, end_us; /* image there; run ends (0: never) */
+  gint64 told_us;          /* of a gang: to stop; 0: not */
 } WorldTask;
 
 typedef struct
@@ -35,6 +36,10 @@
   gint64 apart_us;     /* ... and each task so much longer than the one before it */
   gint64 cancelled_us; /* told to the user; 0: not */
   bool accepted;
+  /* of a gang: its running attempt, what is saved, and since when it runs, lacks a task, is told */
+  guint64 running_attempt;
+  gint64 saved_us, since_us, lacks_us, told_us;
+  guint saves;     /* orderly stops that succeeded */
   gint64 waits_us; /* with room for a task of it, since; 0: not */
   guint8 *done;    /* by task */
   guint n_done;
