--- a/src/core-private.h
+++ b/src/core-private.h
@@ -707,6 +707,9 @@
 /* Forgets all calls; replies that still come are ignored. */
 void
 mh_core_drop_calls (MhCore *core);
+/* After a 429 for a change: the rate that was announced. */
+void
+mh_core_slow_down (MhCore *core);
 void
 mh_core_answer (MhCore *core, guint64 id, guint status, guint retry_after_s);
 void
--- a/src/core.c
+++ b/src/core.c
@@ -10,6 +10,9 @@
    after the first, and tries again after the second. */
 #define UNREACHED_US (MH_SECOND_US * 3 / 2)
 #define TRY_AGAIN_US (4 * MH_SECOND_US)
+/* Of the rate of changes, and the burst; the others write a little too. */
+#define WRITE_SHARE 0.9
+#define WRITE_BURST_S 0.8
 /* A tick that comes so much too late was not held up by work. */
 #define STILL_US MH_SECOND_US
 
@@ -159,6 +162,18 @@
                        q);
 }
 
+/* The state service has just refused what the present rate allows: its next one holds. */
+void
+mh_core_slow_down (MhCore *core)
+{
+  double next = core->settings->next_write_rps;
+  if (next <= 0 || core->write_bucket.rate <= next * WRITE_SHARE)
+    return;
+  mh_info (core, "the state service takes fewer changes; from now on %.1f a second", next);
+  mh_bucket_init (&core->write_bucket, next * WRITE_SHARE, next * WRITE_BURST_S, core->now.mono_us);
+  mh_bucket_take (&core->write_bucket, core->write_bucket.burst);
+}
+
 /* The highest rank first. The lease is renewed whatever the buckets say: its calls are few, and
    without it nothing else counts. Changes that have to wait hold up other changes, but not reads:
    else questions about finished jobs would go unanswered as long as there is much to write. */
@@ -547,8 +562,8 @@
   g_queue_init (&core->actions);
   /* The other controllers read and watch a little too. */
   mh_bucket_init (&core->state_bucket, settings->state_rps * 0.75, settings->state_rps * 0.4, t);
-  mh_bucket_init (&core->write_bucket, settings->state_write_rps * 0.9,
-                  settings->state_write_rps * 0.8, t);
+  mh_bucket_init (&core->write_bucket, settings->state_write_rps * WRITE_SHARE,
+                  settings->state_write_rps * WRITE_BURST_S, t);
   mh_order_start (core);
   mh_silence_start (core);
   mh_bucket_init (&core->cloud_bucket, settings->cloud_rps * 0.9, settings->cloud_rps * 1.5, t);
--- a/src/store.c
+++ b/src/store.c
@@ -146,6 +146,84 @@
   g_hash_table_remove (core->jobs, job->spec->id);
 }
 
+/* Further records that are dropped with a job's final one. */
+static guint
+drops_with_final (const MhCore *core, const MhJob *job)
+{
+  return MIN (job->n_records - 1, MIN (DROPS_WITH_FINAL, core->settings->txn_ops - 2));
+}
+
+/* ---- laying out anew ----
+
+   A job that was written in larger records than are taken now, or will be from some unknown moment,
+   is written in smaller ones before anything else of it is. The new records that replace no old one
+   go first. Nobody looks at those: the first record still tells of the old layout. Then the first
+   one and those in the place of old ones go in one transaction, and from then on the new layout
+   holds. Until then nothing of the job counts as on record that was not before: no start is
+   ordered, no result cleared, no cancellation confirmed. What is known of a task is read wherever
+   it stands, first found first taken, so that a leader that ends in between leaves nothing that
+   misleads. */
+
+/* Those that go together with the first; more old ones than a transaction takes are replaced one by
+   one, from the last. */
+static guint
+together (const MhCore *core, const MhJob *job)
+{
+  return MIN (job->old_records, core->settings->txn_ops);
+}
+
+static bool
+may_lay (const MhCore *core, const MhRecord *r)
+{
+  const MhJob *job = r->job;
+  guint first = together (core, job);
+  if (r->laid || (r->chunk && r->chunk < first))
+    return false;
+  /* One in the place of an old one: what that held must be in the others, and durable. */
+  for (guint i = r->chunk < job->old_records ? MAX (r->chunk + 1, first) : job->n_records;
+       i < job->n_records; i++)
+    if (job->records[i].laid == 0)
+      return false;
+  return true;
+}
+
+static void
+laid_out (MhCore *core, MhJob *job)
+{
+  mh_info (core, "job %s: laid out anew in %u records", job->spec->id, job->n_records);
+  job->old_records = 0;
+  for (guint i = 0; i < job->n_records; i++)
+    {
+      MhRecord *r = &job->records[i];
+      r->durable = MAX (r->durable, r->laid);
+      if (r->rev > r->durable && !r->writing)
+        enqueue (core, r, MH_URGENCY_START);
+    }
+  for (guint i = 0; i < job->spec->tasks; i++)
+    if (job->tasks[i].live)
+      mh_fleet_due (core, job->tasks[i].live->machine);
+}
+
+static bool
+anything_to_tell (const MhJob *job, guint chunk)
+{
+  guint end = MIN ((chunk + 1) * job->chunk, job->spec->tasks);
+  for (guint i = chunk * job->chunk; i < end; i++)
+    if (job->tasks[i].attempt)
+      return true;
+  return false;
+}
+
+static void
+lay_out (MhCore *core, MhJob *job)
+{
+  for (guint i = 0; i < job->n_records; i++)
+    if (i < job->old_records || anything_to_tell (job, i))
+      mh_store_touch (core, &job->records[i], MH_URGENCY_START);
+    else
+      job->records[i].laid = 1; /* below every rev that is given from now on */
+}
+
 static const char *
 shape_name (MhShape shape)
 {
@@ -159,6 +237,11 @@
   MhJob *job = r->job;
   r->writing = false;
   r->stamp = stamp;
+  r->laid = w->rev;
+  if (job->old_records && r->chunk && !w->final)
+    return; /* counts once the first record says so */
+  if (job->old_records && !w->final)
+    laid_out (core, job);
   r->durable = w->rev;
   /* What was waiting for this to be on record may be ordered now. */
   guint end = MIN ((r->chunk + 1) * job->chunk, job->spec->tasks);
@@ -180,7 +263,7 @@
         {
           job->final = true;
           job->final_state = w->cancelled ? MH_JOB_CANCELLED : MH_JOB_DONE;
-          for (guint i = DROPS_WITH_FINAL + 1; i < job->n_records; i++)
+          for (guint i = drops_with_final (core, job) + 1; i < job->n_records; i++)
             if (job->records[i].stamp)
               g_queue_push_tail (&core->garbage, mh_record_key (job->spec->id, i));
         }
@@ -360,18 +443,20 @@
       /* 429 and 503 say that it was not executed; anything else leaves it open. */
       if (status != 429 && status != 503)
         t->unknown = true;
+      if (status == 429)
+        mh_core_slow_down (core);
       core->state_pause_us = core->now.mono_us + 100000 + (gint64)(core->now.jitter * 150000);
       txn_send (core, t);
     }
 }
 
 static bool
-writable (const MhRecord *r)
+writable (const MhCore *core, const MhRecord *r)
 {
   if (r->writing)
     return false;
   if (!r->job->finished)
-    return true;
+    return r->job->old_records == 0 || may_lay (core, r);
   /* The final record ends all others: it waits until none of them is on its way. */
   if (r->chunk != 0)
     return false;
@@ -412,13 +497,30 @@
   g_array_append_val (b->changes, c);
 }
 
+/* One that replaces an old record, with the first of its job. */
+static void
+add_companion (Batch *b, MhRecord *r)
+{
+  MhValue *v = mh_record_write (r, b->txn->tag);
+  g_ptr_array_add (b->values, v);
+  b->bytes += mh_value_json_size (v) + 300;
+  const char *key = keep_key (b, mh_record_key (r->job->spec->id, r->chunk));
+  add_condition (b, key, r->stamp);
+  add_change (b, key, v);
+  Write w = { .record = r, .rev = r->rev };
+  g_array_append_val (b->txn->writes, w);
+  r->writing = true;
+  r->again = MH_URGENCY_PROGRESS;
+}
+
 /* False: it does not fit in this transaction any more. */
 static bool
 batch_add (MhCore *core, Batch *b, MhRecord *r)
 {
   MhJob *job = r->job;
-  guint drops = job->finished ? MIN (job->n_records - 1, DROPS_WITH_FINAL) : 0;
-  guint need = job->finished ? 2 + drops : 1;
+  guint drops = job->finished ? drops_with_final (core, job) : 0;
+  bool first = job->old_records && !job->finished && r->chunk == 0;
+  guint need = job->finished ? 2 + drops : first ? together (core, job) : 1;
   if (b->changes->len > 0 && b->changes->len + need > b->most)
     return false;
   MhValue *v
@@ -442,13 +544,15 @@
     add_condition (b, final, 0);
   if (job->finished && r->stamp)
     add_change (b, key, NULL);
-  for (guint i = 1; i <= drops && b->changes->len < core->settings->txn_ops; i++)
+  for (guint i = 1; i <= drops; i++)
     if (job->records[i].stamp)
       add_change (b, keep_key (b, mh_record_key (job->spec->id, i)), NULL);
   Write w = { .record = r, .rev = r->rev, .final = job->finished, .cancelled = job->cancelled };
   g_array_append_val (b->txn->writes, w);
   r->writing = true;
   r->again = MH_URGENCY_PROGRESS;
+  for (guint i = 1; first && i < together (core, job); i++)
+    add_companion (b, &job->records[i]);
   return true;
 }
 
@@ -482,7 +586,7 @@
           next = l->next;
           /* The final record ends all others. */
           bool needless = r->job->finished && r->chunk != 0;
-          if (!needless && !writable (r))
+          if (!needless && !writable (core, r))
             continue;
           if (!needless && !batch_add (core, &b, r))
             {
@@ -618,7 +722,10 @@
           not_understood (core, e->key, e->key + 2);
           return;
         }
-      job = mh_job_new (spec, per_record, core->settings->value_bytes, at, &core->now);
+      guint fits = mh_job_chunk (spec, core->settings->value_bytes);
+      guint old = per_record > fits && fits ? (spec->tasks + per_record - 1) / per_record : 0;
+      job = mh_job_new (spec, old ? fits : per_record, core->settings->value_bytes, at, &core->now);
+      job->old_records = old;
       job->accepted = true;
       job->cancelled = job->cancel_durable = cancelled;
       g_hash_table_insert (core->jobs, job->spec->id, job);
@@ -672,7 +779,15 @@
   else if (strcmp (page->prefix, "t/") == 0)
     load_page (core, MH_RECORD_RELEASES, NULL);
   else
-    mh_leader_loaded (core);
+    {
+      GHashTableIter it;
+      gpointer job;
+      g_hash_table_iter_init (&it, core->jobs);
+      while (g_hash_table_iter_next (&it, NULL, &job))
+        if (((MhJob *)job)->old_records)
+          lay_out (core, job);
+      mh_leader_loaded (core);
+    }
 }
 
 static void
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -577,6 +577,42 @@
   finish (sim);
 }
 
+/* ---- the state service takes less from some moment on ---- */
+
+/* Jobs written in large records go on under limits that take only small ones: they are laid out
+   anew, also when leaders end in the midst of it, and nothing runs again or is lost. */
+static void
+test_laid_out_anew (void)
+{
+  for (guint step = 0; step < 12; step++)
+    {
+      Sim *sim = sim_new (90 + step);
+      sim->world->capacity = 6;
+      MhJobSpec *s = sim_spec (1, MH_SHAPE_ARRAY, 320, 0.04);
+      s->mem_gb = 0.1;
+      s->estimate_us = 600 * MH_SECOND_US;
+      SimUser *u = sim_submit (sim, s, 40);
+      WAIT (sim, 60, all_run, u);
+      SimUser *cancelled = running_service (sim, 3, 2);
+      sim_limit (sim, 2048, 5);
+      sim_run (sim, 1 + 0.1 * step);
+      if (step)
+        sim_stop_node (sim, sim_leader (sim) ? sim_leader (sim)->index : 0);
+      sim_withdraw (cancelled);
+      sim_run (sim, 0.7 * step);
+      for (guint i = 0; i < SIM_NODES; i++)
+        sim_start_node (sim, i);
+      WAIT (sim, 10, told_cancelled, cancelled);
+      WAIT (sim, 120, told_done, u);
+      g_assert_true (sim_logged (sim, "laid out anew"));
+      g_assert_false (sim_logged (sim, "was refused"));
+      g_assert_cmpuint (sim->world->starts, ==, 322);
+      sim_run (sim, 15);
+      g_assert_null (g_tree_lookup (sim->world->keys, "t/j-000001/00001"));
+      finish (sim);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -604,5 +640,6 @@
   ADD ("machines-deaf-to-a-new-leader", test_machines_deaf_to_a_new_leader);
   ADD ("odd-requests", test_odd_requests);
   ADD ("record-not-understood", test_record_not_understood);
+  ADD ("laid-out-anew", test_laid_out_anew);
   return g_test_run ();
 }
