--- /dev/null
+++ b/tests/test-upgrade.c
@@ -0,0 +1,199 @@
+/* Beside the version in production: what it writes is read, and what is written here is the same to
+   the byte as long as no gang is in it. */
+#include "core-private.h"
+#include "peer.h"
+#include "production-records.h"
+#include "steps.h"
+
+#include <string.h>
+
+static MhValue *
+load (const guint8 *data, gsize size)
+{
+  MhValue *v = mh_value_load (data, size);
+  g_assert_nonnull (v);
+  return v;
+}
+#define LOAD(fixture) load (fixture, sizeof fixture)
+
+static void
+assert_written (MhValue *written, const guint8 *data, gsize size)
+{
+  g_autoptr (MhValue) v = written;
+  g_autoptr (GBytes) bytes = mh_value_save (v);
+  g_assert_cmpmem (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), data, size);
+}
+#define ASSERT_WRITTEN(value, fixture) assert_written (value, fixture, sizeof fixture)
+
+static void
+count_task (gpointer data, guint index, guint32 attempt, const char *machine)
+{
+  guint *counts = data;
+  if (machine == NULL)
+    {
+      g_assert_cmpuint (index, ==, 1);
+      g_assert_cmpuint (attempt, ==, 4);
+      counts[0]++;
+    }
+  else if (strcmp (machine, "?") == 0)
+    {
+      g_assert_cmpuint (index, ==, 33);
+      g_assert_cmpuint (attempt, ==, 7);
+      counts[1]++;
+    }
+  else
+    {
+      g_assert_cmpstr (machine, ==, "vm-000231");
+      counts[2]++;
+    }
+}
+
+static void
+test_records_are_read (void)
+{
+  gint64 at;
+  guint chunk, counts[3] = {};
+  bool cancelled;
+  g_autoptr (MhValue) job = LOAD (production_job), tasks = LOAD (production_tasks);
+  g_autoptr (MhJobSpec) s = mh_record_read_job (job, "j-000412", &at, &chunk, &cancelled);
+  g_assert_nonnull (s);
+  g_assert_cmpuint (s->tasks, ==, 40);
+  g_assert_cmpint (s->deadline_us, ==, 900 * MH_SECOND_US);
+  g_assert_cmpuint (chunk, ==, 32);
+  g_assert_true (cancelled);
+  g_assert_true (mh_record_read_tasks (job, count_task, counts));
+  g_assert_true (mh_record_read_tasks (tasks, count_task, counts));
+  g_assert_cmpuint (counts[0], ==, 1);
+  g_assert_cmpuint (counts[1], ==, 1);
+  g_assert_cmpuint (counts[2], ==, 3);
+
+  MhUserAnswer a;
+  guint64 epoch, claim;
+  g_autofree char *node = NULL;
+  g_autoptr (MhValue) final = LOAD (production_final), leader = LOAD (production_leader);
+  g_autoptr (MhValue) last = LOAD (production_epoch), release = LOAD (production_release);
+  g_assert_true (mh_record_read_final (final, &a));
+  g_assert_cmpint (a.state, ==, MH_JOB_CANCELLED);
+  g_assert_true (mh_record_read_leader (leader, &node, &epoch, &claim));
+  g_assert_cmpstr (node, ==, "worker-1");
+  g_assert_true (mh_record_read_epoch (last, &epoch));
+  g_assert_cmpuint (epoch, ==, 2000000);
+  g_auto (GStrv) names = mh_record_read_release (release);
+  g_assert_cmpuint (g_strv_length (names), ==, 2);
+}
+
+static void
+test_records_are_the_same (void)
+{
+  gint64 at;
+  guint chunk;
+  bool cancelled;
+  g_autoptr (MhSettings) settings = mh_settings_new ();
+  settings->value_bytes = 32768;
+  settings->state_rps = settings->state_write_rps = settings->cloud_rps = 100;
+  settings->cancel_us = 60 * MH_SECOND_US;
+  MhNow now = { .mono_us = 1000 * MH_SECOND_US, .wall_us = 1700000000 * MH_SECOND_US };
+  g_autoptr (MhCore) core = mh_core_new (settings, &now);
+  g_autoptr (MhValue) stored = LOAD (production_job);
+  MhJobSpec *s = mh_record_read_job (stored, "j-000412", &at, &chunk, &cancelled);
+  MhJob *job = mh_job_new (s, chunk, settings->value_bytes, at, &now);
+  MhMachine *m = mh_fleet_add (core, "vm-000231", "g8", "b", true);
+  for (guint i = 0; i < 3; i++)
+    mh_fleet_attempt_new (core, job, i * 15, 2 + i, m);
+  job->tasks[1] = (MhTask){ .attempt = 4, .state = MH_TASK_DONE };
+  job->tasks[33] = (MhTask){ .attempt = 7, .state = MH_TASK_PENDING };
+  job->cancelled = true;
+  job->n_done = 1;
+  ASSERT_WRITTEN (mh_record_write (&job->records[0], "5.17"), production_job);
+  ASSERT_WRITTEN (mh_record_write (&job->records[1], "5.17"), production_tasks);
+  ASSERT_WRITTEN (mh_record_write_final (job, "5.18"), production_final);
+  ASSERT_WRITTEN (mh_record_write_leader ("worker-1", 1000001, 7), production_leader);
+  ASSERT_WRITTEN (mh_record_write_epoch (2000000), production_epoch);
+  const char *names[] = { "vm-000231", "vm-000232", NULL };
+  ASSERT_WRITTEN (mh_record_write_release ((char **)names), production_release);
+  for (guint i = 0; i < 3; i++)
+    mh_fleet_attempt_forget (core, job->tasks[i * 15].live);
+  mh_job_free (job);
+}
+
+static void
+assert_message (GByteArray *written, const guint8 *data, gsize size, MhPeerMessage *message)
+{
+  g_assert_cmpmem (written->data, written->len, data, size);
+  g_assert_cmpint (mh_peer_read (written, message), ==, MH_PEER_READ);
+  g_assert_cmpuint (written->len, ==, 0);
+  g_byte_array_unref (written);
+}
+
+static void
+test_messages_are_the_same (void)
+{
+  MhPeerMessage m = {};
+  const MhUserAnswer answer
+      = { .status = 200, .retry_after_s = 3, .state = MH_JOB_CANCELLED, .done = 3, .running = 13 };
+  g_autoptr (GBytes) body = g_bytes_new_static ("body", 4);
+  assert_message (mh_peer_write_call (41, MH_USER_SUBMIT, "j-000412", body), production_call,
+                  sizeof production_call, &m);
+  g_assert_cmpint (m.verb, ==, MH_USER_SUBMIT);
+  mh_peer_message_clear (&m);
+  assert_message (mh_peer_write_answer (42, &answer), production_answer, sizeof production_answer,
+                  &m);
+  g_assert_cmpint (m.answer.state, ==, MH_JOB_CANCELLED);
+  mh_peer_message_clear (&m);
+  assert_message (mh_peer_write_news ("worker-1", 1000001), production_news, sizeof production_news,
+                  &m);
+  g_assert_cmpuint (m.id, ==, 1000001);
+  mh_peer_message_clear (&m);
+}
+
+/* Controllers that write large records and such that write small ones lead in turn, in any order,
+   until only those are left; then the state service takes no more. */
+static void
+test_versions_change_places (void)
+{
+  for (guint seed = 1; seed <= 6; seed++)
+    {
+      Sim *sim = sim_new (seed);
+      sim->world->capacity = 6;
+      MhJobSpec *s = sim_spec (1, MH_SHAPE_ARRAY, 300, 0.04);
+      s->mem_gb = 0.1;
+      s->estimate_us = 600 * MH_SECOND_US;
+      SimUser *u = sim_submit (sim, s, 70), *service = running_service (sim, 3, 2);
+      WAIT (sim, 60, all_run, u);
+      for (guint turn = 0; turn < 6; turn++)
+        {
+          guint index = (turn + seed) % SIM_NODES;
+          bool small = turn % 2 == 0 || turn > 3;
+          sim_stop_node (sim, index);
+          sim->nodes[index].settings->value_bytes = small ? 2048 : 8192;
+          sim->nodes[index].settings->txn_ops = sim->nodes[index].settings->batch = small ? 5 : 16;
+          sim_run (sim, 0.3 * turn);
+          sim_start_node (sim, index);
+          SimNode *leader = sim_leader (sim);
+          if (leader && leader->index != index)
+            {
+              sim_stop_node (sim, leader->index);
+              sim_run (sim, 1.5);
+              sim_start_node (sim, leader->index);
+            }
+          sim_run (sim, 4);
+        }
+      sim_limit (sim, 2048, 5);
+      WAIT (sim, 200, told_done, u);
+      g_assert_cmpuint (world_running (sim->world, service->job->spec->id), ==, 2);
+      g_assert_cmpuint (sim->world->starts, ==, 302);
+      sim_assert_rules (sim);
+      sim_free (sim);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/upgrade/records-are-read", test_records_are_read);
+  g_test_add_func ("/upgrade/records-are-the-same", test_records_are_the_same);
+  g_test_add_func ("/upgrade/messages-are-the-same", test_messages_are_the_same);
+  g_test_add_func ("/upgrade/versions-change-places", test_versions_change_places);
+  return g_test_run ();
+}
