The final answer holds beside a repeated submission that waits

A new leader knew the final state from a question, while an earlier repetition of the submission waited for its write, and answered the next one by that.

--- a/src/core.c
+++ b/src/core.c
@@ -332,13 +332,12 @@
   const MhUserAnswer *final = g_hash_table_lookup (core->finals, spec->id);
   if (final || (job && job->accepted))
     {
-      if (job)
-        mh_core_answer_job (core, id, job, 200);
+      /* A repeated submission may wait in memory beside the final answer, which holds: it once was
+         answered as a job that waits. */
+      if (final)
+        mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
       else
-        {
-          MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_USER, id);
-          a->answer = *final;
-        }
+        mh_core_answer_job (core, id, job, 200);
       mh_job_spec_free (spec);
       return;
     }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -92,7 +92,6 @@
   char *job;
   MhJobSpec *spec;      /* FROM_TEST */
   MhUserAnswer *answer; /* FROM_TEST */
-  bool *answered;
 } Origin;
 
 static void
@@ -446,7 +445,6 @@
   else if (o->from == FROM_TEST)
     {
       *o->answer = a->answer;
-      *o->answered = true;
     }
   else if (!peers_cut (sim, n->index, o->node))
     {
@@ -948,25 +946,31 @@
   u->withdraw = true;
 }
 
-guint
-sim_ask (Sim *sim, guint node, MhUserVerb verb, const char *job, MhJobSpec *spec,
-         MhUserAnswer *answer)
+void
+sim_ask_later (Sim *sim, guint node, MhUserVerb verb, const char *job, MhJobSpec *spec,
+               MhUserAnswer *answer)
 {
   SimNode *n = &sim->nodes[node];
-  bool answered = false;
   Origin *o = g_new0 (Origin, 1);
   o->from = FROM_TEST;
   o->verb = verb;
   o->job = g_strdup (job);
   o->answer = answer;
-  o->answered = &answered;
   o->spec = spec ? spec_copy (spec) : NULL;
   MhNow t = node_now (n);
   mh_core_user (n->core, &t, node_request (n, o), verb, job, spec, false);
   node_drain (n);
-  for (guint i = 0; i < 50 && !answered; i++)
+}
+
+guint
+sim_ask (Sim *sim, guint node, MhUserVerb verb, const char *job, MhJobSpec *spec,
+         MhUserAnswer *answer)
+{
+  *answer = (MhUserAnswer){};
+  sim_ask_later (sim, node, verb, job, spec, answer);
+  for (guint i = 0; i < 50 && answer->status == 0; i++)
     sim_run (sim, 0.1);
-  g_assert_true (answered);
+  g_assert_cmpuint (answer->status, !=, 0);
   return answer->status;
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -126,6 +126,10 @@
 void
 sim_withdraw (SimUser *user);
 /* One request of its own; the answer's status, 0 when none came. */
+/* `answer` is filled when one comes; it must outlive that. */
+void
+sim_ask_later (Sim *sim, guint node, MhUserVerb verb, const char *job, MhJobSpec *spec,
+               MhUserAnswer *answer);
 guint
 sim_ask (Sim *sim, guint node, MhUserVerb verb, const char *job, MhJobSpec *spec,
          MhUserAnswer *answer);
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -337,6 +337,35 @@
   finish (sim);
 }
 
+/* The same, and while its write waits the user asks, and submits once more: what the question found
+   in the final record holds. The second submission once was answered as a job that waits. */
+static void
+test_question_between_repeated_submissions (void)
+{
+  Sim *sim = sim_new (86);
+  SimUser *u = sim_submit (sim, sim_spec (1, MH_SHAPE_ARRAY, 1, 1), 2);
+  WAIT (sim, 60, told_done, u);
+  sim_run (sim, 5);
+  sim_stop_node (sim, sim_leader (sim)->index);
+  WAIT (sim, 10, has_leader, NULL);
+  sim_run (sim, 3);
+  SimNode *leader = sim_leader (sim);
+  leader->writes_lost_us = sim->now_us + 4 * MH_SECOND_US;
+  const MhUserVerb verbs[] = { MH_USER_SUBMIT, MH_USER_STATUS, MH_USER_SUBMIT };
+  MhUserAnswer answers[G_N_ELEMENTS (verbs)] = {};
+  for (guint i = 0; i < G_N_ELEMENTS (verbs); i++)
+    {
+      sim_ask_later (sim, leader->index, verbs[i], "j-000001",
+                     verbs[i] == MH_USER_SUBMIT ? sim_spec (1, MH_SHAPE_ARRAY, 1, 1) : NULL,
+                     &answers[i]);
+      sim_run (sim, 0.3);
+    }
+  sim_run (sim, 8);
+  for (guint i = 0; i < G_N_ELEMENTS (verbs); i++)
+    g_assert_true (answers[i].status == 200 && answers[i].state == MH_JOB_DONE);
+  finish (sim);
+}
+
 /* No controller for longer than the workers' lease: whatever ran is gone, and runs again. */
 static void
 test_all_away_for_a_lease (void)
@@ -630,6 +659,7 @@
   ADD ("limit-across-leaders", test_limit_across_leaders);
   ADD ("late-writes", test_late_writes);
   ADD ("late-write-meets-a-final-record", test_late_write_meets_a_final_record);
+  ADD ("question-between-repeated-submissions", test_question_between_repeated_submissions);
   ADD ("all-away-for-a-lease", test_all_away_for_a_lease);
   ADD ("report-of-an-earlier-session", test_report_of_an_earlier_session);
   ADD ("ends-far-apart", test_ends_far_apart);
