--- a/src/place.c
+++ b/src/place.c
@@ -21,6 +21,7 @@
 /* Machines on which an array would miss the aim for its start by its image come last. */
 #define TOO_LATE 1000
 #define RANK_LOSS 3
+#define GATHERING_LOSS_S 30
 #define LATE_STEP_US (10 * MH_SECOND_US)
 
 bool
@@ -483,9 +484,10 @@
 {
   const MhJobSpec *s = a->job->spec;
   double ran = a->running_us ? (double)(core->now.mono_us - a->running_us) / MH_SECOND_US : 0;
-  /* One task of a gang costs the whole of it. */
+  /* One task of a gang costs the whole of it, which has to gather again, also one that has just
+     begun: those once were stopped first, up to four times in a row. */
   if (mh_gang_is (a->job))
-    return s->tasks * s->cpus * (1 + ran) * (1 + RANK_LOSS * s->priority);
+    return s->tasks * s->cpus * (GATHERING_LOSS_S + ran) * (1 + RANK_LOSS * s->priority);
   return s->cpus * (1 + ran) * (1 + RANK_LOSS * s->priority);
 }
 
