--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -56,6 +56,28 @@
   finish (sim);
 }
 
+/* The gang is done, and one of its machines fails before it has told so: the others' word is
+   enough, and nothing runs again. */
+static void
+test_done_together (void)
+{
+  Sim *sim = sim_new (13);
+  for (guint i = 0; i < 3; i++)
+    world_add_machine (sim->world, "small", "a", false);
+  MhJobSpec *s = gang_spec (1, 6, 2);
+  s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+  SimUser *u = sim_submit (sim, s, 8);
+  WAIT (sim, 60, runs, u);
+  WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
+  WAIT (sim, 30, all_done, u);
+  m->failed = true;
+  m->up = false;
+  g_array_set_size (m->tasks, 0);
+  WAIT (sim, 20, told_done, u);
+  g_assert_cmpuint (sim->world->starts, ==, 6);
+  finish (sim);
+}
+
 static void
 test_refusals (void)
 {
@@ -276,6 +298,7 @@
   t->ready_us = sim->now_us + 300 * MH_SECOND_US;
   WAIT (sim, 150, told_done, u);
   g_assert_true (sim_logged (sim, "taken back"));
+  g_assert_false (sim_logged (sim, "did not come in time"));
   finish (sim);
 }
 
@@ -301,6 +324,7 @@
   g_test_init (&argc, &argv, NULL);
 #define ADD(name, func) g_test_add_func ("/gang/" name, func)
   ADD ("life", test_life);
+  ADD ("done-together", test_done_together);
   ADD ("refusals", test_refusals);
   ADD ("all-or-none", test_all_or_none);
   ADD ("two-gangs", test_two_gangs);
