--- a/src/core-private.h
+++ b/src/core-private.h
@@ -285,6 +285,8 @@
                      double gb);
 double
 mh_fleet_hourly (const MhMachine *machine); /* its price; the type must be known */
+double
+mh_fleet_cpu_hourly (const MhMachine *machine); /* ... by the cpu */
 /* The worker's answer to a question or a command of this leader; false: nothing newer. */
 bool
 mh_fleet_answered (MhCore *core, MhMachine *machine, const MhReport *report);
@@ -450,6 +452,9 @@
 mh_place_step (MhCore *core);
 bool
 mh_place_type_fits (const MhJobSpec *spec, const MhMachineType *type);
+/* How often `need` is in `have`, at most so often. */
+guint
+mh_place_times (double have, double need, guint most);
 /* Could the team run `more` of the job's tasks besides what may be running now? */
 bool
 mh_place_quota_fits (MhCore *core, const MhJob *job, double more_cpus, double more_gpus);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -263,6 +263,12 @@
   return m->spot ? m->type->spot_price : m->type->price;
 }
 
+double
+mh_fleet_cpu_hourly (const MhMachine *m)
+{
+  return mh_fleet_hourly (m) / MAX (m->type->cpus, 1e-3);
+}
+
 /* ---- attempts ---- */
 
 static MhUse *
--- a/src/gang.c
+++ b/src/gang.c
@@ -248,25 +248,12 @@
   GPtrArray *zones; /* distinct, interned */
 } Search;
 
-static guint
-times (double have, double need, guint most)
-{
-  if (need <= 0)
-    return most;
-  double n = (have + 1e-6) / need;
-  return n <= 0 ? 0 : (guint)MIN (n, most);
-}
-
 static guint
 slots_in (const MhSpace *x, const MhJobSpec *s)
 {
-  return times (x->cpus, s->cpus, times (x->gpus, s->gpus, times (x->mem, s->mem_gb, s->tasks)));
-}
-
-static double
-unit_price (const MhMachine *m)
-{
-  return mh_fleet_hourly (m) / MAX (m->type->cpus, 1e-3);
+  return mh_place_times (
+      x->cpus, s->cpus,
+      mh_place_times (x->gpus, s->gpus, mh_place_times (x->mem, s->mem_gb, s->tasks)));
 }
 
 /* The gang begins with its last image; then the cheapest, the one with the least room, the name. */
@@ -277,7 +264,7 @@
   gint64 wx = x->wait_us / WAIT_STEP_US, wy = y->wait_us / WAIT_STEP_US;
   if (wx != wy)
     return wx < wy ? -1 : 1;
-  double px = unit_price (x->machine), py = unit_price (y->machine);
+  double px = mh_fleet_cpu_hourly (x->machine), py = mh_fleet_cpu_hourly (y->machine);
   if (px != py)
     return px < py ? -1 : 1;
   if (x->slots[ROOM_NOW] != y->slots[ROOM_NOW])
--- a/src/place.c
+++ b/src/place.c
@@ -35,6 +35,14 @@
          && s->mem_gb <= t->mem_gb + EPSILON;
 }
 
+guint
+mh_place_times (double have, double need, guint most)
+{
+  if (need <= 0 || have >= need * most)
+    return most;
+  return have > 0 ? (guint)(have / need + 1e-6) : 0;
+}
+
 bool
 mh_place_quota_fits (MhCore *core, const MhJob *job, double more_cpus, double more_gpus)
 {
@@ -178,12 +186,6 @@
   return s->cpus <= x.cpus + EPSILON && s->gpus <= x.gpus + EPSILON && s->mem_gb <= x.mem + EPSILON;
 }
 
-static double
-unit_price (const MhMachine *m)
-{
-  return mh_fleet_hourly (m) / MAX (m->type->cpus, 1e-3);
-}
-
 /* For an array, what a cpu of the machine costs while the task waits for its image and runs. For a
    service, which is waited for: whether its image is there, comes in time for the aim, or too late,
    and then in steps; among equals the price counts, since replicas stay where they are. */
@@ -191,7 +193,7 @@
 walk_cost (const MhJobSpec *s, const Candidate *c, gint64 patience)
 {
   if (s->shape != MH_SHAPE_SERVICE)
-    return unit_price (c->machine) * (double)(c->wait_us + s->estimate_us + MH_SECOND_US)
+    return mh_fleet_cpu_hourly (c->machine) * (double)(c->wait_us + s->estimate_us + MH_SECOND_US)
            * (c->wait_us > patience ? TOO_LATE : 1);
   if (c->wait_us <= 0)
     return 0;
@@ -212,7 +214,7 @@
     return y->dear ? -1 : 1;
   if (x->crowd != y->crowd)
     return x->crowd < y->crowd ? -1 : 1;
-  double px = unit_price (x->machine), py = unit_price (y->machine);
+  double px = mh_fleet_cpu_hourly (x->machine), py = mh_fleet_cpu_hourly (y->machine);
   if (px != py)
     return px < py ? -1 : 1;
   double fx = free_cpus (x->machine), fy = free_cpus (y->machine);
--- a/src/scale.c
+++ b/src/scale.c
@@ -156,19 +156,13 @@
          && mh_place_type_fits (job->spec, r->type);
 }
 
-static guint
-times (double have, double need, guint most)
-{
-  return need <= 0 || have >= need * most ? most : (guint)(have / need + 1e-6);
-}
-
 /* How many of `n` tasks fit. */
 static guint
 room_for (const Room *r, const MhJobSpec *s, guint n)
 {
-  n = times (r->cpus, s->cpus, n);
-  n = times (r->gpus, s->gpus, n);
-  return times (r->mem, s->mem_gb, n);
+  n = mh_place_times (r->cpus, s->cpus, n);
+  n = mh_place_times (r->gpus, s->gpus, n);
+  return mh_place_times (r->mem, s->mem_gb, n);
 }
 
 static void
@@ -626,7 +620,7 @@
   guint waiting = 0;
   while (waiting < n)
     {
-      guint k = times (plan->ended_cpus, s->cpus, n - waiting);
+      guint k = mh_place_times (plan->ended_cpus, s->cpus, n - waiting);
       if (k)
         {
           plan->ended_cpus -= s->cpus * k;
@@ -679,7 +673,8 @@
   /* What failed machines ran has to run again beside all that keeps coming: room that others leave
      is not enough for both. With 279 of 590 machines cut off, nothing was rented for 45 s, since
      what waited could never have been in time. */
-  guint again = s->shape == MH_SHAPE_SERVICE ? 0 : times (MAX (plan->lost_cpus, 0), s->cpus, n);
+  guint again
+      = s->shape == MH_SHAPE_SERVICE ? 0 : mh_place_times (MAX (plan->lost_cpus, 0), s->cpus, n);
   plan->lost_cpus -= s->cpus * again;
   n -= may_wait (core, plan, job, n - again);
   while (n > 0)
