--- a/src/core.c
+++ b/src/core.c
@@ -396,9 +396,6 @@
   const MhUserAnswer *final = g_hash_table_lookup (core->finals, job_id);
   if (!in_charge)
     {
-      /* What can never run is told so without a leader too, unless it was accepted once. */
-      guint refused = spec ? judge (core, spec) : 0;
-      mh_job_spec_free (spec);
       bool other = core->leader.phase == MH_PHASE_FOLLOW && core->leader.node
                    && strcmp (core->leader.node, core->settings->node) != 0;
       if (!forwarded && other)
@@ -410,12 +407,14 @@
         }
       else if (final)
         mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
-      /* A leader whose lease has lapsed may not know how its last writes ended. */
+      /* A leader whose lease has lapsed may not know how its last writes ended. What can never run
+         is told so without a leader too, unless it was accepted once. */
       else if (!forwarded && core->leader.phase < MH_PHASE_LOAD
-               && (verb == MH_USER_STATUS || refused == 422))
+               && (verb == MH_USER_STATUS || (spec && judge (core, spec) == 422)))
         mh_store_lookup (core, id, job_id, verb, false);
       else
         mh_core_answer (core, id, 503, 1);
+      mh_job_spec_free (spec);
       mh_core_step (core);
       return;
     }
--- a/src/leader.c
+++ b/src/leader.c
@@ -333,11 +333,12 @@
   core->leader.renew_us = core->now.mono_us + core->settings->lease_us / 10;
   if (status == 200)
     {
-      if (core->now.mono_us >= core->leader.valid_until_us)
+      bool paused = core->now.mono_us >= core->leader.valid_until_us;
+      if (paused)
         mh_info (core, "lease renewed after a pause: nobody else can have led meanwhile");
       /* Their reports were refused for a while: that nothing was heard meanwhile says nothing of
          the workers. After an outage of a minute a whole fleet was once given back as silent. */
-      if (core->now.mono_us >= core->leader.confirmed_us + mh_fleet_keep_alive_us (core))
+      if (paused && core->now.mono_us >= core->leader.confirmed_us + mh_fleet_keep_alive_us (core))
         core->awake_us = core->now.mono_us;
       core->leader.valid_until_us = lease_end (core, sent);
       core->leader.confirmed_us = sent;
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -93,6 +93,39 @@
   finish (sim);
 }
 
+/* Settings that leave no room beside the workers' lease: nothing is kept alive without the state
+   service, what is cancelled is gone in time, and silence is noticed as ever. */
+static void
+test_no_room_for_the_gap (void)
+{
+  Sim *sim = sim_new (54);
+  sim->settings->cancel_us = 18 * MH_SECOND_US;
+  for (guint i = 0; i < SIM_NODES; i++)
+    {
+      sim_stop_node (sim, i);
+      sim->nodes[i].settings->cancel_us = 18 * MH_SECOND_US;
+      sim_start_node (sim, i);
+    }
+  SimUser *u = running_service (sim, 1, 2), *other = running_service (sim, 3, 1);
+  g_assert_true (sim_logged (sim, "leaves no room"));
+  sim_run (sim, 10);
+  WorldMachine *m = worker_of (sim, "j-000003/0")->machine;
+  m->hung_until_us = sim->now_us + 100 * MH_SECOND_US;
+  WAIT (sim, 20, is_gone, m);
+  WAIT (sim, 20, all_run, other);
+  WAIT (sim, 20, all_run, u);
+  SimNode *old = sim_leader (sim);
+  old->state_cut_us = old->peers_cut_us = sim->now_us + 100 * MH_SECOND_US;
+  sim->hold_commands = true;
+  sim->world->cloud_outage_until_us = sim->now_us + 100 * MH_SECOND_US;
+  sim_withdraw (u);
+  WAIT (sim, 20, told_cancelled, u);
+  sim->world->outage_until_us = sim->now_us + 40 * MH_SECOND_US;
+  sim_run (sim, 40);
+  g_assert_cmpuint (world_running (sim->world, "j-000001"), ==, 0);
+  finish (sim);
+}
+
 /* The state service is away for longer than the old leader may keep anything alive: the tasks end
    with the workers' leases, and start again on the very machines once it is back. That nothing was
    heard while all reports were refused once had the whole fleet given back. */
@@ -663,6 +696,7 @@
 #define ADD(name, func) g_test_add_func ("/meetings/" name, func)
   ADD ("gap", test_gap);
   ADD ("cancel-before-a-slow-load", test_cancel_before_a_slow_load);
+  ADD ("no-room-for-the-gap", test_no_room_for_the_gap);
   ADD ("long-outage", test_long_outage);
   ADD ("mute-machines", test_mute_machines);
   ADD ("mute-towards-the-leader", test_mute_towards_the_leader);
