--- a/tests/sim.c
+++ b/tests/sim.c
@@ -730,7 +730,7 @@
 static guint64
 signature (const WorldMachine *m)
 {
-  guint64 s = m->tenure * 31 + m->epoch;
+  guint64 s = m->tenure * 31 + m->epoch + (m->taken_us ? 7 : 0);
   for (guint i = 0; i < m->tasks->len; i++)
     {
       const WorldTask *t = &g_array_index (m->tasks, WorldTask, i);
--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -286,6 +286,30 @@
   finish (sim);
 }
 
+/* The cloud takes one of its machines back: with enough notice the gang saves together before that,
+   and goes on elsewhere; with too little it is left to run, and loses what it has not saved. */
+static void
+test_notice (void)
+{
+  for (guint enough = 0; enough < 2; enough++)
+    {
+      Sim *sim = sim_new (83 + enough);
+      for (guint i = 0; i < 3; i++)
+        world_add_machine (sim->world, "small", "a", false);
+      MhJobSpec *s = gang_spec (1, 4, 2);
+      s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+      SimUser *u = sim_submit (sim, s, 30);
+      WAIT (sim, 60, runs, u);
+      sim_run (sim, 8);
+      WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
+      m->taken_us = sim->now_us + (enough ? 12 : 2) * MH_SECOND_US;
+      WAIT (sim, 20, is_gone, m);
+      g_assert_cmpuint (u->job->saves, ==, enough);
+      WAIT (sim, 120, told_done, u);
+      finish (sim);
+    }
+}
+
 /* One machine does not get the image in time: the gang is taken back before its workers give up,
    and put elsewhere. */
 static void
@@ -337,6 +361,7 @@
   ADD ("leaders-change", test_leaders_change);
   ADD ("cancel", test_cancel);
   ADD ("orderly-stop", test_orderly_stop);
+  ADD ("notice", test_notice);
   ADD ("late-image", test_late_image);
   ADD ("small-records", test_small_records);
   return g_test_run ();
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -57,6 +57,33 @@
   g_assert_true (rule->soft);
 }
 
+/* The limits that come next: sizes keep to the lower ones from the start; none, or some of them,
+   leave what there is. */
+static void
+test_next (void)
+{
+  g_autofree char *problem = NULL, *other = NULL, *wrong = NULL;
+  g_autofree char *all = g_strconcat (good,
+                                      "[settings.state.next]\nwrite_rps = 15.0\n"
+                                      "value_kb = 2.0\ntxn_ops = 5\n",
+                                      NULL);
+  g_autofree char *part = g_strconcat (good, "[settings.state.next]\nvalue_kb = 64\n", NULL);
+  g_autofree char *bad = g_strconcat (good, "[settings.state.next]\ntxn_ops = 1\n", NULL);
+  g_autoptr (MhSettings) s = load (all, NULL, &problem);
+  g_assert_nonnull (s);
+  g_assert_cmpuint (s->value_bytes, ==, 2048);
+  g_assert_cmpuint (s->txn_ops, ==, 5);
+  g_assert_cmpuint (s->batch, ==, 5);
+  g_assert_cmpfloat (s->state_write_rps, ==, 20);
+  g_assert_cmpfloat (s->next_write_rps, ==, 15);
+  g_assert_cmpint (s->gang_wait_us, ==, 50 * MH_SECOND_US); /* not named: as before gangs */
+  g_autoptr (MhSettings) p = load (part, NULL, &other);
+  g_assert_nonnull (p);
+  g_assert_cmpuint (p->value_bytes, ==, 8192);
+  g_assert_cmpuint (p->txn_ops, ==, 16);
+  g_assert_null (load (bad, NULL, &wrong));
+}
+
 static void
 test_defaults (void)
 {
@@ -106,6 +133,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/settings/good", test_good);
+  g_test_add_func ("/settings/next", test_next);
   g_test_add_func ("/settings/defaults", test_defaults);
   g_test_add_func ("/settings/bad", test_bad);
   return g_test_run ();
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -187,14 +187,14 @@
   g_assert_cmpuint (loaded, >, 100);
 }
 
-static void
-test_report (void)
+static MhValue *
+report_of (const char *status, const char *cause)
 {
   MhValue *m = mh_value_map (), *legs = mh_value_list (), *leg = mh_value_map ();
   mh_value_set_text (leg, "leg", "j-000412/3");
   mh_value_set_uint (leg, "try", 2);
-  mh_value_set_text (leg, "status", "ended");
-  mh_value_set_text (leg, "cause", "in_use");
+  mh_value_set_text (leg, "status", status);
+  mh_value_set_text (leg, "cause", cause);
   mh_value_push (legs, leg);
   mh_value_set_text (m, "box", "vm-000231");
   mh_value_set_text (m, "endpoint", "10.1.0.232:9000");
@@ -206,6 +206,50 @@
   mh_value_set_uint (m, "epoch", 41);
   mh_value_set_number (m, "warning_s", 7.5);
   mh_value_set (m, "legs", legs);
+  return m;
+}
+
+/* What gangs add to submissions and reports; other words stay unknown. */
+static void
+test_gang (void)
+{
+  g_autoptr (MhValue) body = with (submission (), "shape", mh_value_text ("group"));
+  g_autoptr (MhJobSpec) spec = mh_wire_read_submission (body);
+  g_assert_nonnull (spec);
+  g_assert_cmpint (spec->shape, ==, MH_SHAPE_GANG);
+  g_autoptr (MhValue) written = mh_wire_write_submission (spec);
+  g_autofree char *shape = mh_value_get_text (written, "shape");
+  g_assert_cmpstr (shape, ==, "group");
+  g_assert_false (reads (with (submission (), "shape", mh_value_text ("gang"))));
+  g_assert_false (
+      reads (with (with (submission (), "shape", mh_value_text ("group")), "legs", NULL)));
+  static const struct
+  {
+    const char *status, *cause;
+    bool good;
+    MhTaskPhase phase;
+    MhCause read;
+  } legs[] = { { "gathering", NULL, true, MH_TASK_GATHERING, MH_CAUSE_NONE },
+               { "ended", "peers", true, MH_TASK_ENDED, MH_CAUSE_PEERS },
+               { "ended", "incomplete", true, MH_TASK_ENDED, MH_CAUSE_INCOMPLETE },
+               { "ended", "gathering", false, MH_TASK_ENDED, MH_CAUSE_NONE },
+               { "waiting", NULL, false, MH_TASK_ENDED, MH_CAUSE_NONE } };
+  for (guint i = 0; i < G_N_ELEMENTS (legs); i++)
+    {
+      g_autoptr (MhValue) m = report_of (legs[i].status, legs[i].cause);
+      g_autoptr (MhReport) r = mh_wire_read_report (m);
+      g_assert_true ((r != NULL) == legs[i].good);
+      if (r == NULL)
+        continue;
+      g_assert_cmpint (g_array_index (r->tasks, MhReportTask, 0).phase, ==, legs[i].phase);
+      g_assert_cmpint (g_array_index (r->tasks, MhReportTask, 0).cause, ==, legs[i].read);
+    }
+}
+
+static void
+test_report (void)
+{
+  MhValue *m = report_of ("ended", "in_use");
   g_autoptr (MhReport) r = mh_wire_read_report (m);
   g_assert_nonnull (r);
   g_assert_cmpuint (r->tasks->len, ==, 1);
@@ -277,7 +321,8 @@
   guint value_bytes = GPOINTER_TO_UINT (data);
   MhNow now = { 0, 0, 0 };
   MhJobSpec *spec = g_new0 (MhJobSpec, 1);
-  g_autofree char *long_name = g_strnfill (200, 'x');
+  bool small = value_bytes < 8192;
+  g_autofree char *long_name = g_strnfill (small ? 20 : 200, 'x');
   spec->id = g_strdup ("j-123456789012345678");
   spec->class_name = g_strdup (long_name);
   spec->team = g_strdup (long_name);
@@ -287,7 +332,8 @@
   /* The record says how many tasks it holds, so that another version or another limit can read it.
    */
   MhJob *job = mh_job_new (spec, 0, value_bytes, 0, &now);
-  g_assert_cmpuint (job->chunk, >=, 64);
+  g_assert_cmpuint (mh_job_chunk (spec, value_bytes), ==, job->chunk);
+  g_assert_cmpuint (job->chunk, >=, small ? 16 : 64);
   MhMachine machine = { .name = (char *)"vm-000000000001" };
   MhAttempt attempt = { .machine = &machine };
   for (guint i = 0; i < spec->tasks; i++)
@@ -317,6 +363,8 @@
   g_test_add_func ("/wire/round-trip", test_round_trip);
   g_test_add_func ("/wire/bytes", test_bytes);
   g_test_add_func ("/wire/noise", test_noise);
+  g_test_add_func ("/wire/gang", test_gang);
+  g_test_add_data_func ("/wire/record-size/2", GUINT_TO_POINTER (2048), test_record_size);
   g_test_add_func ("/wire/report", test_report);
   g_test_add_data_func ("/wire/record-size/8", GUINT_TO_POINTER (8192), test_record_size);
   g_test_add_data_func ("/wire/record-size/32", GUINT_TO_POINTER (32768), test_record_size);
--- a/tests/world.c
+++ b/tests/world.c
@@ -820,7 +820,6 @@
 {
   static const char *const phases[] = { "pulling", "gathering", "running", "saving", "ended" };
   MhValue *b = mh_value_map (), *legs = mh_value_list ();
-  (void)w;
   m->tick++;
   mh_value_set_text (b, "box", m->name);
   mh_value_set_text (b, "endpoint", m->endpoint);
@@ -830,6 +829,8 @@
   mh_value_set_uint (b, "tenure", m->tenure);
   mh_value_set_uint (b, "tick", m->tick);
   mh_value_set_uint (b, "epoch", m->epoch);
+  if (m->taken_us)
+    mh_value_set_number (b, "warning_s", (double)(m->taken_us - w->now_us) / 1e6);
   for (guint i = 0; i < m->tasks->len; i++)
     {
       const WorldTask *t = &g_array_index (m->tasks, WorldTask, i);
@@ -879,6 +880,14 @@
 {
   if (m->gone || m->failed)
     return;
+  if (m->taken_us && w->now_us >= m->taken_us)
+    {
+      m->gone = true;
+      m->up = false;
+      m->gone_us = w->now_us;
+      g_array_set_size (m->tasks, 0);
+      return;
+    }
   if (!m->up)
     {
       if (w->now_us < m->up_us)
--- a/tests/world.h
+++ b/tests/world.h
@@ -23,6 +23,7 @@
   char *name, *endpoint, *type, *zone;
   bool spot, up, gone, failed, sick;
   gint64 rented_us, up_us, gone_us, hung_until_us;
+  gint64 taken_us; /* the cloud takes it back then, and it says so; 0: never */
   guint64 tenure, tick, epoch;
   gint64 lease_from_us; /* when the last answered report was sent */
   GArray *tasks;        /* WorldTask */
