--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -286,6 +286,53 @@
   finish (sim);
 }
 
+/* Room for urgent work is made by the end of single tasks, as long as that does: one task of a gang
+   would cost the whole of it. */
+static void
+test_order_of_victims (void)
+{
+  Sim *sim = sim_new (85);
+  sim->world->capacity = 1;
+  MhJobSpec *single = sim_spec (2, MH_SHAPE_ARRAY, 8, 1);
+  single->estimate_us = 300 * MH_SECOND_US;
+  single->spot = false;
+  single->types = g_strdupv ((char **)(const char *[]){ "large", NULL });
+  SimUser *array = sim_submit (sim, single, 90);
+  WAIT (sim, 60, all_run, array);
+  sim_run (sim, 10); /* so that each of them has run for longer than the gang */
+  MhJobSpec *s = gang_spec (1, 4, 2);
+  s->types = g_strdupv ((char **)(const char *[]){ "large", NULL });
+  SimUser *u = sim_submit (sim, s, 20);
+  WAIT (sim, 20, runs, u); /* now the machine is full */
+  SimUser *urgent = sim_submit (sim, sim_spec (3, MH_SHAPE_SERVICE, 1, 2), 0);
+  WAIT (sim, 20, all_run, urgent);
+  g_assert_cmpuint (u->job->saves, ==, 0);
+  g_assert_cmpuint (u->job->running_attempt, ==, 1);
+  WAIT (sim, 60, told_done, u);
+  finish (sim);
+}
+
+/* Nothing is there: as many machines as the whole gang needs are rented in one zone, and it starts
+   when the last of them is up. */
+static void
+test_rented_whole (void)
+{
+  Sim *sim = sim_new (86);
+  MhJobSpec *s = gang_spec (1, 6, 2);
+  s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+  SimUser *u = sim_submit (sim, s, 5);
+  WAIT (sim, 30, accepted, u);
+  sim_run (sim, 3);
+  g_assert_cmpuint (sim->world->machines->len, ==, 3);
+  for (guint i = 0; i < 3; i++)
+    g_assert_cmpstr (((WorldMachine *)g_ptr_array_index (sim->world->machines, i))->zone, ==,
+                     ((WorldMachine *)g_ptr_array_index (sim->world->machines, 0))->zone);
+  g_assert_cmpuint (sim->world->starts, ==, 0);
+  WAIT (sim, 30, told_done, u);
+  g_assert_cmpuint (sim->world->starts, ==, 6);
+  finish (sim);
+}
+
 /* The cloud takes one of its machines back: with enough notice the gang saves together before that,
    and goes on elsewhere; with too little it is left to run, and loses what it has not saved. */
 static void
@@ -361,6 +408,8 @@
   ADD ("leaders-change", test_leaders_change);
   ADD ("cancel", test_cancel);
   ADD ("orderly-stop", test_orderly_stop);
+  ADD ("order-of-victims", test_order_of_victims);
+  ADD ("rented-whole", test_rented_whole);
   ADD ("notice", test_notice);
   ADD ("late-image", test_late_image);
   ADD ("small-records", test_small_records);
