Tests: one finish, and one way in which a machine fails or is taken away

The last step stood in three files, the fields of a failed machine in four places and those of one that is gone in two.

--- a/tests/steps.c
+++ b/tests/steps.c
@@ -72,3 +72,10 @@
   WAIT (sim, 60, all_run, u);
   return u;
 }
+
+void
+finish (Sim *sim)
+{
+  sim_assert_rules (sim);
+  sim_free (sim);
+}
--- a/tests/steps.h
+++ b/tests/steps.h
@@ -24,3 +24,6 @@
 worker_of (Sim *sim, const char *leg);
 SimUser *
 running_service (Sim *sim, guint number, guint tasks);
+/* The last step: no rule was broken. */
+void
+finish (Sim *sim);
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -3,13 +3,6 @@
 
 #include <string.h>
 
-static void
-finish (Sim *sim)
-{
-  sim_assert_rules (sim);
-  sim_free (sim);
-}
-
 /* ---- an ordinary life ---- */
 
 static void
--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -3,13 +3,6 @@
 
 #include <string.h>
 
-static void
-finish (Sim *sim)
-{
-  sim_assert_rules (sim);
-  sim_free (sim);
-}
-
 static MhJobSpec *
 gang_spec (guint number, guint tasks, double cpus)
 {
@@ -73,9 +66,7 @@
   sim_run (sim, 5);
   w->mute_us = sim->now_us + 30 * MH_SECOND_US;
   WAIT (sim, 30, all_done, u);
-  m->failed = true;
-  m->up = false;
-  g_array_set_size (m->tasks, 0);
+  world_fail (m);
   WAIT (sim, 20, told_done, u);
   g_assert_cmpuint (sim->world->starts, ==, 6);
   finish (sim);
@@ -196,9 +187,7 @@
       SimWorker *w = worker_of (sim, "j-000001/0");
       if (how == 0)
         {
-          w->machine->failed = true;
-          w->machine->up = false;
-          g_array_set_size (w->machine->tasks, 0);
+          world_fail (w->machine);
         }
       else if (how == 1)
         w->machine->hung_until_us = sim->now_us + 100 * MH_SECOND_US;
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -3,13 +3,6 @@
 
 #include <string.h>
 
-static void
-finish (Sim *sim)
-{
-  sim_assert_rules (sim);
-  sim_free (sim);
-}
-
 static SimWorker *
 worker (Sim *sim, guint index)
 {
@@ -509,9 +502,7 @@
       WorldMachine *m = worker (sim, i)->machine;
       if (m == kept->machine || m->tasks->len == 0)
         continue;
-      m->failed = true;
-      m->up = false;
-      g_array_set_size (m->tasks, 0);
+      world_fail (m);
       failed++;
     }
   g_assert_cmpuint (failed, >, 0);
--- a/tests/test-random.c
+++ b/tests/test-random.c
@@ -104,9 +104,7 @@
     default:
       if (w)
         {
-          w->machine->failed = true;
-          w->machine->up = false;
-          g_array_set_size (w->machine->tasks, 0);
+          world_fail (w->machine);
         }
     }
 }
--- a/tests/world.c
+++ b/tests/world.c
@@ -506,6 +506,23 @@
   return 200;
 }
 
+void
+world_fail (WorldMachine *m)
+{
+  m->failed = true;
+  m->up = false;
+  g_array_set_size (m->tasks, 0);
+}
+
+static void
+take_away (World *w, WorldMachine *m)
+{
+  m->gone = true;
+  m->up = false;
+  m->gone_us = w->now_us;
+  g_array_set_size (m->tasks, 0);
+}
+
 static void
 release (World *w, const MhValue *body)
 {
@@ -516,10 +533,7 @@
       WorldMachine *m = world_machine (w, name);
       if (m == NULL || m->gone)
         continue;
-      m->gone = true;
-      m->up = false;
-      m->gone_us = w->now_us;
-      g_array_set_size (m->tasks, 0);
+      take_away (w, m);
     }
 }
 
@@ -882,10 +896,7 @@
     return;
   if (m->taken_us && w->now_us >= m->taken_us)
     {
-      m->gone = true;
-      m->up = false;
-      m->gone_us = w->now_us;
-      g_array_set_size (m->tasks, 0);
+      take_away (w, m);
       return;
     }
   if (!m->up)
--- a/tests/world.h
+++ b/tests/world.h
@@ -99,6 +99,9 @@
 world_machine (World *world, const char *name);
 WorldMachine *
 world_add_machine (World *world, const char *type, const char *zone, bool spot);
+/* It stops by itself, with all that is on it. */
+void
+world_fail (WorldMachine *machine);
 MhValue *
 world_report (World *world, WorldMachine *machine); /* a new report: the tick rises */
 /* What the worker does with the response to the report sent at `sent_us` under `tenure`. */
