--- a/src/core-private.h
+++ b/src/core-private.h
@@ -176,9 +176,9 @@
   guint index;
   guint32 attempt;
   MhMachine *machine;
-  guint64 need_rev; /* the record's rev that must be durable before it is ordered */
-  bool loaded;      /* known from a record: what was ordered, nobody here knows */
-  bool ordered;     /* a start may have left this process */
+  guint64 need_rev; /* the record's rev that must be durable before it is sent */
+  bool loaded;      /* known from a record: what was sent, nobody here knows */
+  bool start_sent;  /* a start may have left this process */
   guint64 order_tenure;
   guint64 hello_tick; /* report whose response last carried the start; 0: none */
   bool first;         /* of a job that was starved */
@@ -200,7 +200,7 @@
   guint64 attempt, epoch, tenure;
   bool answered; /* that it was carried out */
   bool lost;     /* no answer will come */
-} MhLoose;
+} MhUnacknowledgedStart;
 
 /* A task on a machine that is no live attempt of ours. */
 typedef struct
@@ -209,7 +209,7 @@
   guint index;
   guint64 attempt;
   bool ended, done;
-} MhStray;
+} MhOrphan;
 
 typedef struct
 {
@@ -232,7 +232,7 @@
   guint ignored;                 /* answers in a row that its next report shows nothing of */
   guint64 told_epoch, told_tick; /* the last answer to a report: its epoch, that report's tick */
   bool told;                     /* ... must show in the next one */
-  bool due;                      /* is to be looked at for orders */
+  bool due;                      /* is to be looked at for commands */
   gint64 hello_us;               /* of the last report that it sent by itself, or the first word */
   bool running;                  /* listed as such */
   gint64 known_us, rented_us, heard_us, idle_us;
@@ -241,16 +241,16 @@
   gint64 hinted_us;                 /* a report of unknown age came */
   gint64 notice_until_us;           /* -1: no notice */
   guint64 tenure, tick, epoch;
-  guint fence;         /* how often its epoch was raised in this leadership */
-  gint64 held_us;      /* a clear has waited for that since then; 0: none */
-  GPtrArray *attempts; /* MhAttempt */
-  GArray *loose;       /* MhLoose, for which its epoch has not been raised */
-  GArray *strays;      /* MhStray */
-  GPtrArray *cache;    /* MhCached */
-  guint direct;        /* direct commands without an answer yet */
-  guint errors;        /* failed tasks in a row */
-  guint replicas;      /* attempts of services */
-  guint unknown;       /* tasks in its last report of jobs whose records are not understood */
+  guint fence;            /* how often its epoch was raised in this leadership */
+  gint64 held_us;         /* a clear has waited for that since then; 0: none */
+  GPtrArray *attempts;    /* MhAttempt */
+  GArray *unacknowledged; /* MhUnacknowledgedStart, for which its epoch has not been raised */
+  GArray *orphans;        /* MhOrphan */
+  GPtrArray *cache;       /* MhCached */
+  guint direct;           /* direct commands without an answer yet */
+  guint errors;           /* failed tasks in a row */
+  guint replicas;         /* attempts of services */
+  guint unknown;          /* tasks in its last report of jobs whose records are not understood */
   char *error_job;
   double used_cpus, used_gpus, used_mem;
   double promised_cpus, promised_mem; /* to tasks that wait for preempted ones, in this pass */
@@ -324,7 +324,7 @@
 mh_fleet_attempt_forget (MhCore *core, MhAttempt *attempt);
 void
 mh_fleet_cache (MhMachine *machine, GRefString *image, double gb);
-/* Its orders are looked at in this step, not with the next sweep. */
+/* Its commands are looked at in this step, not with the next sweep. */
 void
 mh_fleet_due (MhCore *core, MhMachine *machine);
 void
@@ -333,31 +333,31 @@
 /* ---- order ---- */
 
 void
-mh_order_start (MhCore *core);
+mh_command_init (MhCore *core);
 /* The epoch that the machine is told: those of a leadership begin with own_epoch. NULL: not known.
  */
 guint64
-mh_order_epoch (const MhCore *core, const MhMachine *machine);
+mh_command_token (const MhCore *core, const MhMachine *machine);
 /* A direct start of the attempt that is not fenced yet. */
-MhLoose *
-mh_order_loose (const MhMachine *machine, const char *job, guint index, guint64 attempt);
+MhUnacknowledgedStart *
+mh_command_unacknowledged (const MhMachine *machine, const char *job, guint index, guint64 attempt);
 /* Forgets those that the epoch in its last report fences. */
 void
-mh_order_settle (MhMachine *machine);
+mh_command_forget_fenced (MhMachine *machine);
 /* Raises its epoch where something waits for that. */
 void
-mh_order_fence (MhCore *core, MhMachine *machine);
+mh_command_fence (MhCore *core, MhMachine *machine);
 void
-mh_order_collect (MhCore *core, MhMachine *machine, GArray *orders);
+mh_command_collect (MhCore *core, MhMachine *machine, GArray *commands);
 /* Stops for the tasks of cancelled jobs alone. */
 void
-mh_order_collect_cancelled (const MhMachine *machine, GArray *orders);
+mh_command_collect_cancelled (const MhMachine *machine, GArray *commands);
 /* Whether a command would leave for the machine now. */
 bool
-mh_order_reaches (const MhCore *core, const MhMachine *machine);
+mh_command_reaches (const MhCore *core, const MhMachine *machine);
 /* Directly, what has not been said. `epoch_only`: even if that is nothing but the epoch. */
 void
-mh_order_send (MhCore *core, MhMachine *machine, bool epoch_only);
+mh_command_send (MhCore *core, MhMachine *machine, bool epoch_only);
 
 /* ---- silence ---- */
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,4 +1,4 @@
-/* Workers and machines: what reports say, what is ordered, and when a task is proven gone. */
+/* Workers and machines: what reports say, what is sent, and when a task is proven gone. */
 #include "core-private.h"
 
 #include <string.h>
@@ -15,15 +15,15 @@
 #define FAULTY_ERRORS 2u
 
 static void
-loose_clear (gpointer data)
+unacknowledged_clear (gpointer data)
 {
-  g_free (((MhLoose *)data)->job);
+  g_free (((MhUnacknowledgedStart *)data)->job);
 }
 
 static void
-stray_clear (gpointer data)
+orphan_clear (gpointer data)
 {
-  g_free (((MhStray *)data)->job);
+  g_free (((MhOrphan *)data)->job);
 }
 
 static void
@@ -56,8 +56,8 @@
   g_free (m->type_name);
   g_free (m->error_job);
   g_ptr_array_unref (m->attempts);
-  g_array_unref (m->loose);
-  g_array_unref (m->strays);
+  g_array_unref (m->unacknowledged);
+  g_array_unref (m->orphans);
   g_ptr_array_unref (m->cache);
   g_free (m);
 }
@@ -117,10 +117,10 @@
   m->known_us = m->rented_us = m->heard_us = m->hello_us = m->idle_us = core->now.mono_us;
   m->notice_until_us = -1;
   m->attempts = g_ptr_array_new ();
-  m->loose = g_array_new (FALSE, FALSE, sizeof (MhLoose));
-  g_array_set_clear_func (m->loose, loose_clear);
-  m->strays = g_array_new (FALSE, FALSE, sizeof (MhStray));
-  g_array_set_clear_func (m->strays, stray_clear);
+  m->unacknowledged = g_array_new (FALSE, FALSE, sizeof (MhUnacknowledgedStart));
+  g_array_set_clear_func (m->unacknowledged, unacknowledged_clear);
+  m->orphans = g_array_new (FALSE, FALSE, sizeof (MhOrphan));
+  g_array_set_clear_func (m->orphans, orphan_clear);
   m->cache = g_ptr_array_new_with_free_func (cached_free);
   resolve_type (core, m);
   g_hash_table_insert (core->machines, m->name, m);
@@ -431,9 +431,9 @@
       mh_gang_stop (core, a->job, grace_us);
       return;
     }
-  if (!a->ordered && !a->loaded)
+  if (!a->start_sent && !a->loaded)
     {
-      /* No order ever left: there is nothing to wait for. */
+      /* No command ever left: there is nothing to wait for. */
       mh_fleet_attempt_over (core, a, false);
       return;
     }
@@ -496,13 +496,14 @@
   const MhMachine *m = a->machine;
   if (a->loaded)
     return m->epoch >= core->leader.own_epoch;
-  if (!a->ordered)
+  if (!a->start_sent)
     return false;
   if (a->order_tenure < m->tenure)
     return true;
   if (!hello || (!a->seen && !a->kill))
     return false; /* the start is simply sent again */
-  const MhLoose *l = mh_order_loose (m, a->job->spec->id, a->index, a->attempt);
+  const MhUnacknowledgedStart *l
+      = mh_command_unacknowledged (m, a->job->spec->id, a->index, a->attempt);
   return (l == NULL || l->answered) && (a->hello_tick == 0 || m->tick > a->hello_tick);
 }
 
@@ -584,7 +585,7 @@
   MhAttempt *a = task ? task->live : NULL;
   if (task && t->attempt > task->attempt)
     {
-      /* Each attempt is written before it is ordered: memory must be behind the records. */
+      /* Each attempt is written before it is sent: memory must be behind the records. */
       mh_leader_lost (core, "a worker runs an attempt that is not on record here");
       return;
     }
@@ -603,11 +604,11 @@
         return;
       attempt_ended (core, a, t->cause);
     }
-  MhStray stray = { .job = g_strdup (t->job),
-                    .index = t->index,
-                    .attempt = t->attempt,
-                    .ended = t->phase == MH_TASK_ENDED };
-  g_array_append_val (m->strays, stray);
+  MhOrphan orphan = { .job = g_strdup (t->job),
+                      .index = t->index,
+                      .attempt = t->attempt,
+                      .ended = t->phase == MH_TASK_ENDED };
+  g_array_append_val (m->orphans, orphan);
 }
 
 static void
@@ -647,11 +648,11 @@
     mh_info (core, "machine %s: the cloud takes it back in %.1f s", m->name,
              (double)r->notice_us / MH_SECOND_US);
   m->notice_until_us = r->notice_us >= 0 ? core->now.mono_us + r->notice_us : -1;
-  mh_order_settle (m);
+  mh_command_forget_fenced (m);
 
   for (guint i = 0; i < m->attempts->len; i++)
     mh_machine_attempt (m, i)->present = false;
-  g_array_set_size (m->strays, 0);
+  g_array_set_size (m->orphans, 0);
   m->unknown = 0;
   for (guint i = 0; i < r->tasks->len; i++)
     observe_task (core, m, &g_array_index (r->tasks, MhReportTask, i));
@@ -677,7 +678,7 @@
 {
   if (strcmp (r->machine, m->name) != 0 || !newer (m, r))
     return false;
-  if (r->epoch > mh_order_epoch (core, m))
+  if (r->epoch > mh_command_token (core, m))
     {
       mh_leader_lost (core, "a worker has seen a higher epoch");
       return false;
@@ -714,7 +715,7 @@
   MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_HELLO, id);
   a->status = status;
   a->body = body;
-  /* Without orders it may be given for longer, but nothing is gained by telling those apart: a
+  /* Without commands it may be given for longer, but nothing is gained by telling those apart: a
      process that stood still for so long is asked again. */
   if (status == 200 && mh_leader_valid (core))
     a->until_us = core->leader.valid_until_us;
@@ -742,7 +743,7 @@
   for (guint i = 0; i < m->attempts->len && m->told && !ignores; i++)
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
-      if (a->seen || !a->ordered || a->loaded || a->hello_tick != m->told_tick)
+      if (a->seen || !a->start_sent || a->loaded || a->hello_tick != m->told_tick)
         continue;
       bool shown = false;
       for (guint k = 0; k < r->tasks->len && !shown; k++)
@@ -776,7 +777,7 @@
       answer_hello (core, id, 503, NULL);
       return;
     }
-  if (r->epoch > mh_order_epoch (core, m))
+  if (r->epoch > mh_command_token (core, m))
     {
       mh_leader_lost (core, "a worker has seen a higher epoch");
       answer_hello (core, id, 421, mh_wire_write_redirect (NULL));
@@ -791,7 +792,7 @@
       answer_hello (core, id, 503, NULL);
       return;
     }
-  g_autoptr (GArray) orders = mh_orders_new ();
+  g_autoptr (GArray) commands = mh_commands_new ();
   bool told = false;
   /* Copies of reports come late, also of machines that are long gone and to a leader that has
      heard nothing newer. Only one with an epoch of this leadership was surely sent in it; by
@@ -811,9 +812,9 @@
           observe (core, m, r, true);
           if (valid && !core->leader.lost)
             {
-              mh_order_collect (core, m, orders);
+              mh_command_collect (core, m, commands);
               told = m->told = true;
-              m->told_epoch = mh_order_epoch (core, m);
+              m->told_epoch = mh_command_token (core, m);
               m->told_tick = r->tick;
             }
         }
@@ -821,8 +822,8 @@
   /* No answer renews the lease of a worker without stopping what is cancelled there: the leader may
      not be able to say so later. */
   if (!told && m)
-    mh_order_collect_cancelled (m, orders);
-  answer_hello (core, id, 200, mh_wire_write_orders (mh_order_epoch (core, m), NULL, orders));
+    mh_command_collect_cancelled (m, commands);
+  answer_hello (core, id, 200, mh_wire_write_commands (mh_command_token (core, m), NULL, commands));
 }
 
 static void
@@ -852,8 +853,8 @@
   mh_silence_check (core, m);
   if (m->notice_until_us >= 0)
     drain_by_notice (core, m);
-  mh_order_fence (core, m);
-  mh_order_send (core, m, false);
+  mh_command_fence (core, m);
+  mh_command_send (core, m, false);
 }
 
 /* What has just changed is answered at once; all machines are looked through now and then only, so
@@ -868,7 +869,7 @@
       MhMachine *m = g_ptr_array_index (core->due, i);
       m->due = false;
       if (!m->releasing)
-        mh_order_send (core, m, false);
+        mh_command_send (core, m, false);
     }
   g_ptr_array_set_size (core->due, 0);
   if (now < core->swept_us + SWEEP_US)
--- a/src/gang.c
+++ b/src/gang.c
@@ -102,7 +102,7 @@
   for (guint i = 0; i < job->spec->tasks; i++)
     {
       const MhAttempt *a = job->tasks[i].live;
-      if (a == NULL || !a->ordered || mh_order_reaches (core, a->machine))
+      if (a == NULL || !a->start_sent || mh_command_reaches (core, a->machine))
         continue;
       mh_info (core,
                "gang %s: %s cannot be told at once; what was done since the last checkpoint "
@@ -155,7 +155,7 @@
       MhAttempt *a = job->tasks[i].live;
       if (a == NULL)
         continue;
-      if (!a->ordered && !a->loaded)
+      if (!a->start_sent && !a->loaded)
         mh_fleet_attempt_over (core, a, false);
       else if (!a->kill)
         {
--- a/src/place.c
+++ b/src/place.c
@@ -634,7 +634,7 @@
 }
 
 /* The counts of a job are rebuilt when every machine on record for it has reported. Since a start
-   is on record before it is ordered, a job without one has no task anywhere. When the time for that
+   is on record before it is sent, a job without one has no task anywhere. When the time for that
    is over, the zones must be known at least: a machine known from a record alone has none yet, and
    the task on it would be left out of the count. */
 static bool
--- a/src/silence.c
+++ b/src/silence.c
@@ -132,7 +132,7 @@
       /* It may report to a former leader that is cut off, which learns from its next report that it
          is one; without this such workers once stayed there for half a minute. */
       if (r->epoch < core->leader.own_epoch && mh_leader_valid (core))
-        mh_order_send (core, m, true);
+        mh_command_send (core, m, true);
     }
   /* The answer to a question is newer than all that was known when it was put. One that counts from
      the beginning comes from a worker that has lost its memory, of the epochs that it has seen too:
--- a/src/store.c
+++ b/src/store.c
@@ -246,7 +246,7 @@
   /* What was waiting for this to be on record may be ordered now. */
   guint end = MIN ((r->chunk + 1) * job->chunk, job->spec->tasks);
   for (guint i = r->chunk * job->chunk; i < end; i++)
-    if (job->tasks[i].live && !job->tasks[i].live->ordered)
+    if (job->tasks[i].live && !job->tasks[i].live->start_sent)
       mh_fleet_due (core, job->tasks[i].live->machine);
   if (r->chunk == 0)
     {
--- a/src/types.h
+++ b/src/types.h
@@ -100,22 +100,22 @@
 
 typedef enum
 {
-  MH_ORDER_START,
-  MH_ORDER_STOP,
-  MH_ORDER_FORGET
-} MhOrderKind;
+  MH_COMMAND_START,
+  MH_COMMAND_STOP,
+  MH_COMMAND_CLEAR
+} MhCommandKind;
 
 typedef struct
 {
-  MhOrderKind kind;
+  MhCommandKind kind;
   char *job;
   guint index;
   guint64 attempt;
   gint64 grace_us;
-} MhOrder;
+} MhCommand;
 
 GArray *
-mh_orders_new (void);
+mh_commands_new (void);
 
 typedef struct
 {
--- a/src/wire.c
+++ b/src/wire.c
@@ -42,16 +42,16 @@
 }
 
 static void
-order_clear (gpointer data)
+command_clear (gpointer data)
 {
-  g_free (((MhOrder *)data)->job);
+  g_free (((MhCommand *)data)->job);
 }
 
 GArray *
-mh_orders_new (void)
+mh_commands_new (void)
 {
-  GArray *a = g_array_new (FALSE, FALSE, sizeof (MhOrder));
-  g_array_set_clear_func (a, order_clear);
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (MhCommand));
+  g_array_set_clear_func (a, command_clear);
   return a;
 }
 
@@ -692,22 +692,22 @@
 }
 
 MhValue *
-mh_wire_write_orders (guint64 epoch, const guint64 *tenure, GArray *orders)
+mh_wire_write_commands (guint64 epoch, const guint64 *tenure, GArray *commands)
 {
   MhValue *m = mh_value_map ();
   mh_value_set_uint (m, "epoch", epoch);
   if (tenure)
     mh_value_set_uint (m, "tenure", *tenure);
   MhValue *list = mh_value_list ();
-  for (guint i = 0; orders && i < orders->len; i++)
+  for (guint i = 0; commands && i < commands->len; i++)
     {
-      const MhOrder *o = &g_array_index (orders, MhOrder, i);
+      const MhCommand *o = &g_array_index (commands, MhCommand, i);
       MhValue *item = mh_value_map ();
       mh_value_set_text (item, "verb", verbs[o->kind]);
       g_autofree char *leg = g_strdup_printf ("%s/%u", o->job, o->index);
       mh_value_set_text (item, "leg", leg);
       mh_value_set_uint (item, "try", o->attempt);
-      if (o->kind == MH_ORDER_STOP)
+      if (o->kind == MH_COMMAND_STOP)
         mh_value_set_number (item, "wind_down_s", (double)o->grace_us / MH_SECOND_US);
       mh_value_push (list, item);
     }
@@ -1069,10 +1069,10 @@
 }
 
 MhRequest *
-mh_wire_commands (const char *endpoint, guint64 epoch, guint64 tenure, GArray *orders)
+mh_wire_commands (const char *endpoint, guint64 epoch, guint64 tenure, GArray *commands)
 {
   MhRequest *r = request (MH_TARGET_WORKER, "POST", g_strdup ("/commands"),
-                          mh_wire_write_orders (epoch, &tenure, orders));
+                          mh_wire_write_commands (epoch, &tenure, commands));
   r->endpoint = g_strdup (endpoint);
   return r;
 }
--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -128,7 +128,7 @@
       sim_run (sim, 0.1);
     }
   g_assert_true (u->told_done);
-  g_assert_cmpuint (parts, <=, 10); /* only until the orders are there: a second */
+  g_assert_cmpuint (parts, <=, 10); /* only until the commands are there: a second */
   for (guint i = 0; i < G_N_ELEMENTS (small); i++)
     WAIT (sim, 120, told_done, small[i]);
   finish (sim);
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -516,7 +516,7 @@
 }
 
 /* A report is held back until a new leader has acted, and then arrives there: the start that it
-   does not show was ordered by the new leader meanwhile. */
+   does not show was sent by the new leader meanwhile. */
 static void
 test_report_held_until_a_new_leader_acted (void)
 {
--- a/tests/world.c
+++ b/tests/world.c
@@ -795,11 +795,11 @@
 }
 
 static void
-obey (World *w, WorldMachine *m, const MhValue *orders)
+obey (World *w, WorldMachine *m, const MhValue *commands)
 {
-  for (gsize i = 0; i < mh_value_size (orders); i++)
+  for (gsize i = 0; i < mh_value_size (commands); i++)
     {
-      const MhValue *o = mh_value_at (orders, i);
+      const MhValue *o = mh_value_at (commands, i);
       g_autofree char *verb = mh_value_get_text (o, "verb"), *leg = mh_value_get_text (o, "leg");
       guint64 attempt = 0;
       mh_value_get_uint (o, "try", &attempt);
