--- a/src/command.c
+++ b/src/command.c
@@ -33,7 +33,7 @@
   return NULL;
 }
 
-/* What the machine is to be told: the leadership's epochs begin with own_epoch. */
+/* The fencing token that the machine is told: those of a leadership begin with own_epoch. */
 guint64
 mh_command_token (const MhCore *core, const MhMachine *m)
 {
@@ -41,7 +41,7 @@
 }
 
 /* A direct start may have been lost, or a clear waits until no late copy of it can run it again:
-   the worker gets a higher epoch. It tells of that by one more report, so that clears are gathered.
+   the worker gets a higher token. It tells of that by one more report, so that clears are gathered.
  */
 void
 mh_command_fence (MhCore *core, MhMachine *m)
@@ -54,7 +54,7 @@
     {
       const MhUnacknowledgedStart *l = &g_array_index (m->unacknowledged, MhUnacknowledgedStart, i);
       wanted |= l->lost;
-      helps |= l->epoch == mh_command_token (core, m);
+      helps |= l->token == mh_command_token (core, m);
     }
   if (!wanted || !helps)
     return;
@@ -65,11 +65,11 @@
     }
   m->fence++;
   m->held_us = 0;
-  mh_debug (core, "machine %s: epoch raised to %" G_GUINT64_FORMAT " to fence direct starts",
+  mh_debug (core, "machine %s: token raised to %" G_GUINT64_FORMAT " to fence direct starts",
             m->name, mh_command_token (core, m));
 }
 
-/* A late command is carried out only under its own tenure and an epoch that the worker has not
+/* A late command is carried out only under its own session and an token that the worker has not
    outgrown. */
 void
 mh_command_forget_fenced (MhMachine *m)
@@ -77,7 +77,7 @@
   for (guint i = 0; i < m->unacknowledged->len;)
     {
       const MhUnacknowledgedStart *l = &g_array_index (m->unacknowledged, MhUnacknowledgedStart, i);
-      if (l->tenure < m->tenure || l->epoch < m->epoch)
+      if (l->session < m->session || l->token < m->token)
         g_array_remove_index_fast (m->unacknowledged, i);
       else
         i++;
@@ -126,9 +126,9 @@
         {
           add_command (commands, MH_COMMAND_START, job, a->index, a->attempt, 0);
           a->start_sent = true;
-          a->order_tenure = m->tenure;
+          a->start_session = m->session;
           if (!direct)
-            a->hello_tick = m->tick;
+            a->start_sequence = m->sequence;
         }
     }
 }
@@ -154,7 +154,7 @@
           = mh_command_unacknowledged (m, s->job, s->index, s->attempt);
       if (unacknowledged)
         {
-          held |= unacknowledged->epoch == mh_command_token (core, m); /* not fenced yet */
+          held |= unacknowledged->token == mh_command_token (core, m); /* not fenced yet */
           continue;
         }
       MhJob *job = g_hash_table_lookup (core->jobs, s->job);
@@ -241,7 +241,7 @@
           continue;
         }
       bool refused = status == 409 || status == 400;
-      if (refused && a && !a->seen && a->hello_tick == 0)
+      if (refused && a && !a->seen && a->start_sequence == 0)
         a->start_sent = false; /* nothing was carried out, nor will a copy be */
       if (l && refused)
         g_array_remove_index_fast (m->unacknowledged,
@@ -297,16 +297,16 @@
          && !anything_lost (m);
 }
 
-/* `epoch_only`: no commands, but the worker learns of this leader, and so does a former one that it
+/* `token_only`: no commands, but the worker learns of this leader, and so does a former one that it
    still reports to. */
 void
-mh_command_send (MhCore *core, MhMachine *m, bool epoch_only)
+mh_command_send (MhCore *core, MhMachine *m, bool token_only)
 {
   /* One at a time, and none to a machine that may not be there. Its next report will carry them. */
   if (!mh_command_reaches (core, m))
     return;
   UnsentCommands unsaid = unsent_commands (m);
-  if (!epoch_only
+  if (!token_only
       && (unsaid == NOTHING_UNSENT
           || (unsaid == PATIENT_COMMANDS
               && !mh_bucket_has (&core->direct_bucket, 1, core->now.mono_us))))
@@ -317,18 +317,18 @@
   Direct *d = g_new0 (Direct, 1);
   d->machine = g_strdup (m->name);
   d->commands = g_array_ref (commands);
-  guint64 epoch = mh_command_token (core, m);
+  guint64 token = mh_command_token (core, m);
   for (guint i = 0; i < commands->len; i++)
     {
       const MhCommand *o = &g_array_index (commands, MhCommand, i);
       MhUnacknowledgedStart l
-          = { .index = o->index, .attempt = o->attempt, .epoch = epoch, .tenure = m->tenure };
+          = { .index = o->index, .attempt = o->attempt, .token = token, .session = m->session };
       if (o->kind != MH_COMMAND_START)
         continue;
       l.job = g_strdup (o->job);
       g_array_append_val (m->unacknowledged, l);
     }
   m->direct++;
-  mh_core_call (core, MH_RANK_WORK, mh_wire_commands (m->endpoint, epoch, m->tenure, commands), 0,
+  mh_core_call (core, MH_RANK_WORK, mh_wire_commands (m->endpoint, token, m->session, commands), 0,
                 DIRECT_TIMEOUT_US, direct_reply, d, direct_free);
 }
--- a/src/core-private.h
+++ b/src/core-private.h
@@ -179,12 +179,12 @@
   guint64 need_rev; /* the record's rev that must be durable before it is sent */
   bool loaded;      /* known from a record: what was sent, nobody here knows */
   bool start_sent;  /* a start may have left this process */
-  guint64 order_tenure;
-  guint64 hello_tick; /* report whose response last carried the start; 0: none */
-  bool first;         /* of a job that was starved */
-  bool seen;          /* reported on the machine */
-  bool present;       /* in the report at hand */
-  bool kill;          /* is to be stopped */
+  guint64 start_session;
+  guint64 start_sequence; /* report whose response last carried the start; 0: none */
+  bool first;             /* of a job that was starved */
+  bool seen;              /* reported on the machine */
+  bool present;           /* in the report at hand */
+  bool kill;              /* is to be stopped */
   gint64 grace_us;
   gint64 killed_us; /* when last told directly */
   MhTaskPhase phase;
@@ -192,12 +192,12 @@
 };
 
 /* A start that was sent straight to the worker: it, or a late copy of it, may be carried out at any
-   later time, as long as epoch and tenure still match. */
+   later time, as long as token and session still match. */
 typedef struct
 {
   char *job;
   guint index;
-  guint64 attempt, epoch, tenure;
+  guint64 attempt, token, session;
   bool answered; /* that it was carried out */
   bool lost;     /* no answer will come */
 } MhUnacknowledgedStart;
@@ -224,27 +224,28 @@
   const MhMachineType *type;
   guint type_index, zone_index; /* zone: in this pass */
   bool spot;
-  bool reported;                 /* to this leader, for certain: with its epoch, or asked by it */
-  bool draining;                 /* takes nothing new; what it holds is moved */
-  bool releasing;                /* decided; holds until it is confirmed */
-  bool probing;                  /* being asked whether it is alive */
-  guint deaf;                    /* probes in a row without an answer */
-  guint ignored;                 /* answers in a row that its next report shows nothing of */
-  guint64 told_epoch, told_tick; /* the last answer to a report: its epoch, that report's tick */
-  bool told;                     /* ... must show in the next one */
-  bool due;                      /* is to be looked at for commands */
-  gint64 hello_us;               /* of the last report that it sent by itself, or the first word */
-  bool running;                  /* listed as such */
+  bool reported;  /* to this leader, for certain: with its token, or asked by it */
+  bool draining;  /* takes nothing new; what it holds is moved */
+  bool releasing; /* decided; holds until it is confirmed */
+  bool probing;   /* being asked whether it is alive */
+  guint deaf;     /* probes in a row without an answer */
+  guint ignored;  /* answers in a row that its next report shows nothing of */
+  guint64 answered_token,
+      answered_sequence; /* the last answer to a report: its token, that report's sequence number */
+  bool told;             /* ... must show in the next one */
+  bool due;              /* is to be looked at for commands */
+  gint64 last_report_us; /* of the last report that it sent by itself, or the first word */
+  bool running;          /* listed as such */
   gint64 known_us, rented_us, heard_us, idle_us;
-  gint64 asked_us;                  /* for its report, for the first time since it was silent */
-  guint64 asked_tenure, asked_tick; /* of the newest that was known when it was last asked */
-  gint64 hinted_us;                 /* a report of unknown age came */
-  gint64 notice_until_us;           /* -1: no notice */
-  guint64 tenure, tick, epoch;
-  guint fence;            /* how often its epoch was raised in this leadership */
+  gint64 probed_us; /* for its report, for the first time since it was silent */
+  guint64 probed_session, probed_sequence; /* of the newest that was known when it was last asked */
+  gint64 hinted_us;                        /* a report of unknown age came */
+  gint64 notice_until_us;                  /* -1: no notice */
+  guint64 session, sequence, token;
+  guint fence;            /* how often its token was raised in this leadership */
   gint64 held_us;         /* a clear has waited for that since then; 0: none */
   GPtrArray *attempts;    /* MhAttempt */
-  GArray *unacknowledged; /* MhUnacknowledgedStart, for which its epoch has not been raised */
+  GArray *unacknowledged; /* MhUnacknowledgedStart, for which its token has not been raised */
   GArray *orphans;        /* MhOrphan */
   GPtrArray *cache;       /* MhCached */
   guint direct;           /* direct commands without an answer yet */
@@ -300,7 +301,7 @@
 void
 mh_fleet_kill_job (MhCore *core, MhJob *job);
 void
-mh_fleet_hello (MhCore *core, guint64 id, const MhReport *report);
+mh_fleet_report (MhCore *core, guint64 id, const MhReport *report);
 void
 mh_fleet_step (MhCore *core);
 /* Its release is confirmed: the machine is forgotten but for its name. */
@@ -334,17 +335,18 @@
 
 void
 mh_command_init (MhCore *core);
-/* The epoch that the machine is told: those of a leadership begin with own_epoch. NULL: not known.
+/* The fencing token that the machine is told: those of a leadership begin with own_epoch. NULL: not
+ * known.
  */
 guint64
 mh_command_token (const MhCore *core, const MhMachine *machine);
 /* A direct start of the attempt that is not fenced yet. */
 MhUnacknowledgedStart *
 mh_command_unacknowledged (const MhMachine *machine, const char *job, guint index, guint64 attempt);
-/* Forgets those that the epoch in its last report fences. */
+/* Forgets those that the token in its last report fences. */
 void
 mh_command_forget_fenced (MhMachine *machine);
-/* Raises its epoch where something waits for that. */
+/* Raises its token where something waits for that. */
 void
 mh_command_fence (MhCore *core, MhMachine *machine);
 void
@@ -355,9 +357,9 @@
 /* Whether a command would leave for the machine now. */
 bool
 mh_command_reaches (const MhCore *core, const MhMachine *machine);
-/* Directly, what has not been said. `epoch_only`: even if that is nothing but the epoch. */
+/* Directly, what has not been said. `token_only`: even if that is nothing but the token. */
 void
-mh_command_send (MhCore *core, MhMachine *machine, bool epoch_only);
+mh_command_send (MhCore *core, MhMachine *machine, bool token_only);
 
 /* ---- silence ---- */
 
@@ -368,8 +370,8 @@
 typedef struct
 {
   GRefString *name;
-  guint machines;            /* that have reported */
-  gint64 heard_us, hello_us; /* the last word, the last report */
+  guint machines;                  /* that have reported */
+  gint64 heard_us, last_report_us; /* the last word, the last report */
   gint64 dark_until_us;
 } MhZone;
 
@@ -389,7 +391,7 @@
 void
 mh_silence_clear (MhCore *core);
 void
-mh_silence_heard (MhCore *core, GRefString *zone, bool hello);
+mh_silence_heard (MhCore *core, GRefString *zone, bool is_report);
 /* Nothing has come from the zone for so long that its machines will rather be cut off together than
    have failed one by one. */
 bool
--- a/src/core.c
+++ b/src/core.c
@@ -471,14 +471,14 @@
 /* ---- workers ---- */
 
 void
-mh_core_hello (MhCore *core, const MhNow *now, guint64 id, const MhReport *report)
+mh_core_report (MhCore *core, const MhNow *now, guint64 id, const MhReport *report)
 {
   enter (core, now);
   if (core->leader.phase >= MH_PHASE_LOAD)
-    mh_fleet_hello (core, id, report);
+    mh_fleet_report (core, id, report);
   else
     {
-      MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_HELLO, id);
+      MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_REPORT, id);
       a->status = 421;
       a->body = mh_wire_write_redirect (core->leader.node);
     }
--- a/src/core.h
+++ b/src/core.h
@@ -20,7 +20,7 @@
   MH_ACTION_TELL,        /* tell another controller that this one leads, with epoch `id` */
   MH_ACTION_FORWARD,     /* hand a user's request to another controller */
   MH_ACTION_ANSWER_USER, /* answer a user's request */
-  MH_ACTION_ANSWER_HELLO,
+  MH_ACTION_ANSWER_REPORT,
   MH_ACTION_LOG
 } MhActionKind;
 
@@ -31,8 +31,8 @@
   gint64 timeout_us;  /* CALL, FORWARD */
   MhRequest *request; /* CALL */
   MhUserAnswer answer;
-  guint status;    /* ANSWER_HELLO */
-  MhValue *body;   /* ANSWER_HELLO */
+  guint status;    /* ANSWER_REPORT */
+  MhValue *body;   /* ANSWER_REPORT */
   char *text;      /* FORWARD, TELL: the node; LOG: the line */
   gint64 until_us; /* rests on a lease that ends then; 0: on none */
   GLogLevelFlags level;
@@ -55,7 +55,7 @@
 mh_core_user (MhCore *core, const MhNow *now, guint64 id, MhUserVerb verb, const char *job,
               MhJobSpec *spec, bool forwarded);
 void
-mh_core_hello (MhCore *core, const MhNow *now, guint64 id, const MhReport *report);
+mh_core_report (MhCore *core, const MhNow *now, guint64 id, const MhReport *report);
 /* status 0: no answer, so that whether the request was carried out is unknown. */
 void
 mh_core_reply (MhCore *core, const MhNow *now, guint64 id, guint status, const MhValue *body);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -114,7 +114,7 @@
   m->type_name = g_strdup (type);
   m->zone = zone ? g_ref_string_new_intern (zone) : NULL;
   m->spot = spot;
-  m->known_us = m->rented_us = m->heard_us = m->hello_us = m->idle_us = core->now.mono_us;
+  m->known_us = m->rented_us = m->heard_us = m->last_report_us = m->idle_us = core->now.mono_us;
   m->notice_until_us = -1;
   m->attempts = g_ptr_array_new ();
   m->unacknowledged = g_array_new (FALSE, FALSE, sizeof (MhUnacknowledgedStart));
@@ -491,20 +491,20 @@
    answer to a question or a direct command proves less than a report: it may overtake the starts
    that the last response carries. */
 static bool
-proven_gone (const MhCore *core, const MhAttempt *a, bool hello)
+proven_gone (const MhCore *core, const MhAttempt *a, bool is_report)
 {
   const MhMachine *m = a->machine;
   if (a->loaded)
-    return m->epoch >= core->leader.own_epoch;
+    return m->token >= core->leader.own_epoch;
   if (!a->start_sent)
     return false;
-  if (a->order_tenure < m->tenure)
+  if (a->start_session < m->session)
     return true;
-  if (!hello || (!a->seen && !a->kill))
+  if (!is_report || (!a->seen && !a->kill))
     return false; /* the start is simply sent again */
   const MhUnacknowledgedStart *l
       = mh_command_unacknowledged (m, a->job->spec->id, a->index, a->attempt);
-  return (l == NULL || l->answered) && (a->hello_tick == 0 || m->tick > a->hello_tick);
+  return (l == NULL || l->answered) && (a->start_sequence == 0 || m->sequence > a->start_sequence);
 }
 
 static void
@@ -612,22 +612,22 @@
 }
 
 static void
-observe (MhCore *core, MhMachine *m, const MhReport *r, bool hello)
+observe (MhCore *core, MhMachine *m, const MhReport *r, bool is_report)
 {
   bool first = !m->reported;
   m->reported = true;
   m->heard_us = core->now.mono_us;
-  if (!hello)
+  if (!is_report)
     m->ignored = 0;
   if (!m->ignored)
     m->deaf = 0;
-  if (hello || first)
-    m->hello_us = core->now.mono_us;
-  if (!hello)
+  if (is_report || first)
+    m->last_report_us = core->now.mono_us;
+  if (!is_report)
     mh_fleet_due (core, m);
-  m->tenure = r->tenure;
-  m->tick = r->tick;
-  m->epoch = r->epoch;
+  m->session = r->session;
+  m->sequence = r->sequence;
+  m->token = r->token;
   if (first)
     {
       for (guint i = 0; i < m->attempts->len; i++)
@@ -643,7 +643,7 @@
       m->endpoint = g_strdup (r->endpoint);
     }
   mh_fleet_identify (core, m, r->type, r->zone, r->spot);
-  mh_silence_heard (core, m->zone, hello);
+  mh_silence_heard (core, m->zone, is_report);
   if (r->notice_us >= 0 && m->notice_until_us < 0)
     mh_info (core, "machine %s: the cloud takes it back in %.1f s", m->name,
              (double)r->notice_us / MH_SECOND_US);
@@ -659,7 +659,7 @@
   for (guint i = m->attempts->len; i-- > 0;)
     {
       MhAttempt *a = mh_machine_attempt (m, i);
-      if (a->present || !proven_gone (core, a, hello))
+      if (a->present || !proven_gone (core, a, is_report))
         continue;
       mh_info (core, "task %s/%u: attempt %u is gone from %s", a->job->spec->id, a->index,
                a->attempt, m->name);
@@ -670,7 +670,8 @@
 static bool
 newer (const MhMachine *m, const MhReport *r)
 {
-  return !m->reported || r->tenure > m->tenure || (r->tenure == m->tenure && r->tick > m->tick);
+  return !m->reported || r->session > m->session
+         || (r->session == m->session && r->sequence > m->sequence);
 }
 
 bool
@@ -678,16 +679,16 @@
 {
   if (strcmp (r->machine, m->name) != 0 || !newer (m, r))
     return false;
-  if (r->epoch > mh_command_token (core, m))
+  if (r->token > mh_command_token (core, m))
     {
-      mh_leader_lost (core, "a worker has seen a higher epoch");
+      mh_leader_lost (core, "a worker has seen a higher token");
       return false;
     }
   observe (core, m, r, false);
   return true;
 }
 
-/* ---- hello ---- */
+/* ---- report ---- */
 
 /* For how long after its last renewal a leader that cannot renew any more may keep workers' tasks
    alive, without starting anything. A successor may confirm a cancellation from that renewal's end
@@ -710,9 +711,9 @@
 }
 
 static void
-answer_hello (MhCore *core, guint64 id, guint status, MhValue *body)
+answer_report (MhCore *core, guint64 id, guint status, MhValue *body)
 {
-  MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_HELLO, id);
+  MhAction *a = mh_core_act (core, MH_ACTION_ANSWER_REPORT, id);
   a->status = status;
   a->body = body;
   /* Without commands it may be given for longer, but nothing is gained by telling those apart: a
@@ -738,12 +739,12 @@
 static void
 heed (MhCore *core, MhMachine *m, const MhReport *r)
 {
-  bool asked = m->told && m->epoch < m->told_epoch;
-  bool ignores = m->told && (r->epoch < m->told_epoch || r->tenure > m->tenure);
+  bool asked = m->told && m->token < m->answered_token;
+  bool ignores = m->told && (r->token < m->answered_token || r->session > m->session);
   for (guint i = 0; i < m->attempts->len && m->told && !ignores; i++)
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
-      if (a->seen || !a->start_sent || a->loaded || a->hello_tick != m->told_tick)
+      if (a->seen || !a->start_sent || a->loaded || a->start_sequence != m->answered_sequence)
         continue;
       bool shown = false;
       for (guint k = 0; k < r->tasks->len && !shown; k++)
@@ -766,21 +767,21 @@
 }
 
 void
-mh_fleet_hello (MhCore *core, guint64 id, const MhReport *r)
+mh_fleet_report (MhCore *core, guint64 id, const MhReport *r)
 {
   MhMachine *m = mh_fleet_machine (core, r->machine);
   /* One that this leadership knew is known no more when it has been given back. */
-  bool was_ours = m == NULL && r->epoch > core->leader.own_epoch
-                  && r->epoch < core->leader.own_epoch + MH_EPOCHS_EACH;
+  bool was_ours = m == NULL && r->token > core->leader.own_epoch
+                  && r->token < core->leader.own_epoch + MH_EPOCHS_EACH;
   if (core->leader.phase == MH_PHASE_LEAD && (was_ours || mh_fleet_returned (core, r->machine)))
     {
-      answer_hello (core, id, 503, NULL);
+      answer_report (core, id, 503, NULL);
       return;
     }
-  if (r->epoch > mh_command_token (core, m))
+  if (r->token > mh_command_token (core, m))
     {
-      mh_leader_lost (core, "a worker has seen a higher epoch");
-      answer_hello (core, id, 421, mh_wire_write_redirect (NULL));
+      mh_leader_lost (core, "a worker has seen a higher token");
+      answer_report (core, id, 421, mh_wire_write_redirect (NULL));
       return;
     }
   /* One that has not read the records yet does not know what is cancelled: each of its answers
@@ -789,7 +790,7 @@
   bool valid = mh_leader_valid (core);
   if (core->leader.phase != MH_PHASE_LEAD || (!valid && !may_keep_alive (core)))
     {
-      answer_hello (core, id, 503, NULL);
+      answer_report (core, id, 503, NULL);
       return;
     }
   g_autoptr (GArray) commands = mh_commands_new ();
@@ -797,7 +798,7 @@
   /* Copies of reports come late, also of machines that are long gone and to a leader that has
      heard nothing newer. Only one with an epoch of this leadership was surely sent in it; by
      any other the worker is merely answered, and it reports again when it has seen the epoch. */
-  if (r->epoch < core->leader.own_epoch)
+  if (r->token < core->leader.own_epoch)
     hint (core, m, r);
   else
     {
@@ -814,8 +815,8 @@
             {
               mh_command_collect (core, m, commands);
               told = m->told = true;
-              m->told_epoch = mh_command_token (core, m);
-              m->told_tick = r->tick;
+              m->answered_token = mh_command_token (core, m);
+              m->answered_sequence = r->sequence;
             }
         }
     }
@@ -823,7 +824,8 @@
      not be able to say so later. */
   if (!told && m)
     mh_command_collect_cancelled (m, commands);
-  answer_hello (core, id, 200, mh_wire_write_commands (mh_command_token (core, m), NULL, commands));
+  answer_report (core, id, 200,
+                 mh_wire_write_commands (mh_command_token (core, m), NULL, commands));
 }
 
 static void
--- a/src/shell.c
+++ b/src/shell.c
@@ -646,7 +646,7 @@
           tell (shell, a);
           break;
         case MH_ACTION_ANSWER_USER:
-        case MH_ACTION_ANSWER_HELLO:
+        case MH_ACTION_ANSWER_REPORT:
           answer (shell, a);
           break;
         case MH_ACTION_LOG:
@@ -747,7 +747,7 @@
 }
 
 static void
-handle_hello (Shell *shell, SoupServerMessage *m, MhValue *body)
+handle_report (Shell *shell, SoupServerMessage *m, MhValue *body)
 {
   g_autoptr (MhReport) report = mh_wire_read_report (body);
   if (report == NULL)
@@ -758,7 +758,7 @@
     }
   Request *r = pause_message (shell, m);
   MhNow t = now (shell);
-  mh_core_hello (shell->core, &t, r->id, report);
+  mh_core_report (shell->core, &t, r->id, report);
   pump (shell);
 }
 
@@ -828,7 +828,7 @@
   if (what == SUBMIT)
     handle_submit (shell, m, bytes, body);
   else
-    handle_hello (shell, m, body);
+    handle_report (shell, m, body);
 }
 
 bool
--- a/src/silence.c
+++ b/src/silence.c
@@ -58,7 +58,7 @@
 }
 
 void
-mh_silence_heard (MhCore *core, GRefString *name, bool hello)
+mh_silence_heard (MhCore *core, GRefString *name, bool is_report)
 {
   MhZone *z = find_zone (core, name);
   if (z == NULL)
@@ -70,8 +70,8 @@
   if (core->now.mono_us < z->dark_until_us)
     mh_info (core, "zone %s: heard from again", z->name);
   z->heard_us = core->now.mono_us;
-  if (hello)
-    z->hello_us = core->now.mono_us;
+  if (is_report)
+    z->last_report_us = core->now.mono_us;
   z->dark_until_us = 0;
 }
 
@@ -99,7 +99,7 @@
 bool
 mh_silence_overdue (const MhCore *core, const MhMachine *m)
 {
-  return mh_fleet_silence_us (core, m->hello_us) > core->settings->report_us * 5 / 2;
+  return mh_fleet_silence_us (core, m->last_report_us) > core->settings->report_us * 5 / 2;
 }
 
 bool
@@ -124,22 +124,22 @@
   if (r == NULL || strcmp (r->machine, m->name) != 0)
     {
       /* The answer may have come while this process stood still, and the time-out with it. */
-      if (m->asked_us > core->awake_us && ++m->deaf < DEAF_PROBES)
+      if (m->probed_us > core->awake_us && ++m->deaf < DEAF_PROBES)
         probe (core, m);
     }
   else if (mh_fleet_answered (core, m, r))
     {
       /* It may report to a former leader that is cut off, which learns from its next report that it
          is one; without this such workers once stayed there for half a minute. */
-      if (r->epoch < core->leader.own_epoch && mh_leader_valid (core))
+      if (r->token < core->leader.own_epoch && mh_leader_valid (core))
         mh_command_send (core, m, true);
     }
   /* The answer to a question is newer than all that was known when it was put. One that counts from
      the beginning comes from a worker that has lost its memory, of the epochs that it has seen too:
      nothing that is still on its way there is fenced any more. */
   else if (m->reported && !m->releasing
-           && (r->tenure < m->asked_tenure
-               || (r->tenure == m->asked_tenure && r->tick < m->asked_tick)))
+           && (r->session < m->probed_session
+               || (r->session == m->probed_session && r->sequence < m->probed_sequence)))
     mh_release_machine (core, m, "its worker has begun anew");
 }
 
@@ -147,8 +147,8 @@
 probe (MhCore *core, MhMachine *m)
 {
   m->probing = true;
-  m->asked_tenure = m->reported ? m->tenure : 0;
-  m->asked_tick = m->reported ? m->tick : 0;
+  m->probed_session = m->reported ? m->session : 0;
+  m->probed_sequence = m->reported ? m->sequence : 0;
   mh_core_call (core, MH_RANK_RULES, mh_wire_show (m->endpoint), 0, PROBE_TIMEOUT_US, probe_reply,
                 g_strdup (m->name), g_free);
 }
@@ -160,7 +160,7 @@
       || !mh_bucket_has (&core->probe_bucket, 1, core->now.mono_us))
     return;
   mh_bucket_take (&core->probe_bucket, 1);
-  m->asked_us = core->now.mono_us;
+  m->probed_us = core->now.mono_us;
   probe (core, m);
 }
 
@@ -170,7 +170,7 @@
 others_heard (const MhCore *core, const MhMachine *m)
 {
   const MhZone *z = find_zone (core, m->zone);
-  return z == NULL || z->machines < LEAST_OF_ZONE || z->heard_us > m->asked_us;
+  return z == NULL || z->machines < LEAST_OF_ZONE || z->heard_us > m->probed_us;
 }
 
 void
@@ -192,14 +192,14 @@
       /* It answers, but its own reports reach nobody. What runs there goes on until its lease is
          over, and what it is told directly after that it would only lose again. */
       if (silent < core->settings->silence_us
-          && mh_fleet_silence_us (core, m->hello_us)
+          && mh_fleet_silence_us (core, m->last_report_us)
                  > core->settings->worker_lease_us + MH_SECOND_US)
         mh_release_machine (core, m, "its reports do not come");
       else if (mh_silence_unreachable (m) && m->ignored >= MH_IGNORED_ANSWERS && !patience->cut_off)
         mh_release_machine (core, m, "nothing reaches it");
       else if (silent > patience->known_us
                || (mh_silence_unreachable (m) && !patience->cut_off && others_heard (core, m)
-                   && mh_fleet_silence_us (core, m->hello_us) > patience->report_us))
+                   && mh_fleet_silence_us (core, m->last_report_us) > patience->report_us))
         mh_release_machine (core, m, m->deaf ? "silent, and gives no answer" : "silent");
       else if (m->ignored || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
         ask (core, m);
@@ -250,7 +250,7 @@
       all++;
       hosts += m->replicas > 0;
       if (m->reported)
-        silent += m->deaf || m->ignored || mh_fleet_silence_us (core, m->hello_us) > usual;
+        silent += m->deaf || m->ignored || mh_fleet_silence_us (core, m->last_report_us) > usual;
       else
         unseen++;
     }
@@ -283,7 +283,7 @@
   for (guint i = 0; i < core->zones->len; i++)
     {
       const MhZone *z = &g_array_index (core->zones, MhZone, i);
-      heard_us = MAX (heard_us, z->hello_us);
+      heard_us = MAX (heard_us, z->last_report_us);
       machines += z->machines;
     }
   if (machines >= LEAST_OF_ZONE && core->settings->members->len > 0
--- a/src/types.h
+++ b/src/types.h
@@ -89,7 +89,7 @@
 {
   char *machine, *endpoint, *type, *zone;
   bool spot;
-  guint64 tenure, tick, epoch;
+  guint64 session, sequence, token;
   gint64 notice_us; /* -1: none */
   GArray *tasks;    /* of MhReportTask */
 } MhReport;
--- a/src/wire.c
+++ b/src/wire.c
@@ -661,8 +661,8 @@
   r->type = read_name (b, "rack");
   r->zone = read_name (b, "hall");
   if (!r->machine || !r->endpoint || !r->type || !r->zone || !read_flag (b, "standby", &r->spot)
-      || !mh_value_get_uint (b, "tenure", &r->tenure) || !mh_value_get_uint (b, "tick", &r->tick)
-      || !mh_value_get_uint (b, "epoch", &r->epoch))
+      || !mh_value_get_uint (b, "tenure", &r->session)
+      || !mh_value_get_uint (b, "tick", &r->sequence) || !mh_value_get_uint (b, "epoch", &r->token))
     return NULL;
   r->notice_us = -1;
   if (mh_value_get (b, "warning_s") && !read_duration (b, "warning_s", &r->notice_us))
@@ -692,12 +692,12 @@
 }
 
 MhValue *
-mh_wire_write_commands (guint64 epoch, const guint64 *tenure, GArray *commands)
+mh_wire_write_commands (guint64 token, const guint64 *session, GArray *commands)
 {
   MhValue *m = mh_value_map ();
-  mh_value_set_uint (m, "epoch", epoch);
-  if (tenure)
-    mh_value_set_uint (m, "tenure", *tenure);
+  mh_value_set_uint (m, "epoch", token);
+  if (session)
+    mh_value_set_uint (m, "tenure", *session);
   MhValue *list = mh_value_list ();
   for (guint i = 0; commands && i < commands->len; i++)
     {
@@ -1069,10 +1069,10 @@
 }
 
 MhRequest *
-mh_wire_commands (const char *endpoint, guint64 epoch, guint64 tenure, GArray *commands)
+mh_wire_commands (const char *endpoint, guint64 token, guint64 session, GArray *commands)
 {
   MhRequest *r = request (MH_TARGET_WORKER, "POST", g_strdup ("/commands"),
-                          mh_wire_write_commands (epoch, &tenure, commands));
+                          mh_wire_write_commands (token, &session, commands));
   r->endpoint = g_strdup (endpoint);
   return r;
 }
--- a/src/wire.h
+++ b/src/wire.h
@@ -79,7 +79,7 @@
 MhReport *
 mh_wire_read_report (const MhValue *body);
 MhValue *
-mh_wire_write_commands (guint64 epoch, const guint64 *tenure, GArray *commands);
+mh_wire_write_commands (guint64 epoch, const guint64 *session, GArray *commands);
 MhValue *
 mh_wire_write_redirect (const char *node);
 
@@ -173,6 +173,6 @@
 MhRequest *
 mh_wire_release (char **machines);
 MhRequest *
-mh_wire_commands (const char *endpoint, guint64 epoch, guint64 tenure, GArray *commands);
+mh_wire_commands (const char *endpoint, guint64 epoch, guint64 session, GArray *commands);
 MhRequest *
 mh_wire_show (const char *endpoint);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#define HELLO_TIMEOUT_US (4 * MH_SECOND_US)
+#define REPORT_TIMEOUT_US (4 * MH_SECOND_US)
 
 typedef void (*EventFunc) (Sim *sim, gpointer data);
 
@@ -85,7 +85,7 @@
   MhUserVerb verb;
   SimWorker *worker;
   guint flight;
-  guint64 tenure;
+  guint64 session;
   gint64 sent_us;
   guint node, life; /* FROM_NODE */
   guint64 id;
@@ -622,16 +622,16 @@
 {
   SimWorker *worker;
   guint node, flight;
-  guint64 tenure;
+  guint64 session;
   gint64 sent_us;
   MhValue *body;
   guint status;
-} Hello;
+} SentReport;
 
 static void
-hello_free (gpointer data)
+sent_report_free (gpointer data)
 {
-  mh_value_unref (((Hello *)data)->body);
+  mh_value_unref (((SentReport *)data)->body);
   g_free (data);
 }
 
@@ -650,24 +650,25 @@
 }
 
 static void
-hello_back (Sim *sim, gpointer data)
+report_answered (Sim *sim, gpointer data)
 {
-  Hello *h = data;
-  SimWorker *w = h->worker;
-  if (!w->flying || w->flight != h->flight || sim->now_us > h->sent_us + HELLO_TIMEOUT_US)
+  SentReport *report = data;
+  SimWorker *w = report->worker;
+  if (!w->flying || w->flight != report->flight
+      || sim->now_us > report->sent_us + REPORT_TIMEOUT_US)
     return;
   if (w->machine->hung_until_us > sim->now_us || w->cut_us > sim->now_us
       || w->deaf_us > sim->now_us)
     return; /* dropped: too late when it goes on */
-  g_autofree char *node = mh_value_get_text (h->body, "dispatcher");
+  g_autofree char *node = mh_value_get_text (report->body, "dispatcher");
   SimNode *to = node ? node_named (sim, node) : NULL;
-  if (h->status == 200)
+  if (report->status == 200)
     {
-      world_response (sim->world, w->machine, h->sent_us, h->tenure, h->body);
+      world_response (sim->world, w->machine, report->sent_us, report->session, report->body);
       worker_next (w, (gint64)((double)sim->settings->report_us
                                * g_rand_double_range (sim->random, 0.75, 1.25)));
     }
-  else if (h->status == 421 && to && to->index != w->node && bound_to (w) < 0)
+  else if (report->status == 421 && to && to->index != w->node && bound_to (w) < 0)
     {
       w->node = to->index;
       worker_next (w, 10000);
@@ -683,54 +684,54 @@
 static void
 worker_answered (Sim *sim, const Origin *o, guint status, const MhValue *body)
 {
-  Hello *h = g_new0 (Hello, 1);
-  h->worker = o->worker;
-  h->flight = o->flight;
-  h->tenure = o->tenure;
-  h->sent_us = o->sent_us;
-  h->status = status;
-  h->body = body ? cbor_incref ((MhValue *)body) : NULL;
+  SentReport *report = g_new0 (SentReport, 1);
+  report->worker = o->worker;
+  report->flight = o->flight;
+  report->session = o->session;
+  report->sent_us = o->sent_us;
+  report->status = status;
+  report->body = body ? cbor_incref ((MhValue *)body) : NULL;
   if (lost (sim))
     {
-      hello_free (h);
+      sent_report_free (report);
       return;
     }
-  at (sim, sim->now_us + delay (sim), hello_back, h, hello_free);
+  at (sim, sim->now_us + delay (sim), report_answered, report, sent_report_free);
 }
 
 static void
-hello_arrive (Sim *sim, gpointer data)
+report_arrive (Sim *sim, gpointer data)
 {
-  Hello *h = data;
-  SimNode *n = &sim->nodes[h->node];
+  SentReport *report = data;
+  SimNode *n = &sim->nodes[report->node];
   if (n->core == NULL || n->workers_cut_us > sim->now_us || n->reports_lost_us > sim->now_us)
     return;
-  g_autoptr (MhReport) r = mh_wire_read_report (h->body);
+  g_autoptr (MhReport) r = mh_wire_read_report (report->body);
   g_assert_nonnull (r);
   Origin *o = g_new0 (Origin, 1);
   o->from = FROM_WORKER;
-  o->worker = h->worker;
-  o->flight = h->flight;
-  o->tenure = h->tenure;
-  o->sent_us = h->sent_us;
+  o->worker = report->worker;
+  o->flight = report->flight;
+  o->session = report->session;
+  o->sent_us = report->sent_us;
   MhNow t = node_now (n);
-  mh_core_hello (n->core, &t, node_request (n, o), r);
+  mh_core_report (n->core, &t, node_request (n, o), r);
   node_drain (n);
 }
 
 void
 sim_late_report (Sim *sim, SimNode *n, const MhValue *report)
 {
-  Hello h = { .worker = g_ptr_array_index (sim->workers, 0),
-              .node = n->index,
-              .body = (MhValue *)report };
-  hello_arrive (sim, &h);
+  SentReport sent = { .worker = g_ptr_array_index (sim->workers, 0),
+                      .node = n->index,
+                      .body = (MhValue *)report };
+  report_arrive (sim, &sent);
 }
 
 static guint64
 signature (const WorldMachine *m)
 {
-  guint64 s = m->tenure * 31 + m->epoch + (m->taken_us ? 7 : 0);
+  guint64 s = m->session * 31 + m->token + (m->taken_us ? 7 : 0);
   for (guint i = 0; i < m->tasks->len; i++)
     {
       const WorldTask *t = &g_array_index (m->tasks, WorldTask, i);
@@ -749,7 +750,7 @@
   at (sim, sim->now_us + 100000, worker_turn, w, NULL);
   if (!m->up || m->hung_until_us > sim->now_us || w->mute_us > sim->now_us)
     return;
-  if (w->flying && sim->now_us > w->sent_us + HELLO_TIMEOUT_US)
+  if (w->flying && sim->now_us > w->sent_us + REPORT_TIMEOUT_US)
     {
       if (w->node_only < 0 || (w->only_until_us && bound_to (w) < 0))
         w->node = (w->node + 1) % SIM_NODES;
@@ -762,29 +763,29 @@
   w->flying = true;
   w->flight++;
   w->sent_us = sim->now_us;
-  Hello *h = g_new0 (Hello, 1);
-  h->worker = w;
-  h->node = w->node;
-  h->flight = w->flight;
-  h->tenure = m->tenure;
-  h->sent_us = sim->now_us;
-  h->body = world_report (sim->world, m);
+  SentReport *report = g_new0 (SentReport, 1);
+  report->worker = w;
+  report->node = w->node;
+  report->flight = w->flight;
+  report->session = m->session;
+  report->sent_us = sim->now_us;
+  report->body = world_report (sim->world, m);
   w->signature = signature (m);
   gint64 arrives = MAX (sim->now_us + delay (sim), w->cut_us > sim->now_us ? w->cut_us + 1000 : 0);
   if (sim->copies > 0 && g_rand_double (sim->random) < sim->copies)
     {
-      Hello *copy = g_memdup2 (h, sizeof *h);
-      copy->body = cbor_incref (h->body);
+      SentReport *copy = g_memdup2 (report, sizeof *report);
+      copy->body = cbor_incref (report->body);
       copy->flight = 0; /* nobody waits for its answer */
       copy->node = (guint)g_rand_int_range (sim->random, 0, SIM_NODES);
       at_node (sim, &sim->nodes[copy->node],
-               sim->now_us + g_rand_int_range (sim->random, 1, 60 * MH_SECOND_US), hello_arrive,
-               copy, hello_free);
+               sim->now_us + g_rand_int_range (sim->random, 1, 60 * MH_SECOND_US), report_arrive,
+               copy, sent_report_free);
     }
   if (lost (sim))
-    hello_free (h);
+    sent_report_free (report);
   else
-    at_node (sim, &sim->nodes[h->node], arrives, hello_arrive, h, hello_free);
+    at_node (sim, &sim->nodes[report->node], arrives, report_arrive, report, sent_report_free);
 }
 
 static void
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -164,7 +164,7 @@
       w->next_us = sim->now_us;
       sim_run (sim, 0.1);
     }
-  g_assert_false (sim_logged (sim, "epoch raised"));
+  g_assert_false (sim_logged (sim, "token raised"));
   guint starts = sim->world->starts;
   sim_release_commands (sim);
   sim_run (sim, 20);
@@ -181,7 +181,7 @@
   SimUser *u = sim_submit (sim, sim_spec (3, MH_SHAPE_ARRAY, 1, 1), 1);
   WAIT (sim, 30, told_done, u);
   sim_run (sim, 40);
-  g_assert_true (sim_logged (sim, "epoch raised"));
+  g_assert_true (sim_logged (sim, "token raised"));
   guint starts = sim->world->starts;
   sim_release_commands (sim); /* now the attempt is cleared, and the command too old */
   sim_run (sim, 10);
@@ -469,7 +469,7 @@
   finish (sim);
 }
 
-/* A worker whose lease ran out has a new tenure: proof by itself. */
+/* A worker whose lease ran out has a new session: proof by itself. */
 static void
 test_new_tenure (void)
 {
@@ -477,8 +477,8 @@
   SimUser *u = running_service (sim, 1, 1);
   WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
   g_array_set_size (m->tasks, 0);
-  m->tenure++;
-  m->tick = 0;
+  m->session++;
+  m->sequence = 0;
   WAIT (sim, 20, all_run, u);
   g_assert_cmpuint (sim->world->starts, ==, 2);
   finish (sim);
@@ -1202,8 +1202,8 @@
   WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
   sim_run (sim, 20);
   g_array_set_size (m->tasks, 0);
-  m->tenure = 1;
-  m->tick = m->epoch = 0;
+  m->session = 1;
+  m->sequence = m->token = 0;
   m->lease_from_us = sim->now_us;
   WAIT (sim, 7, is_gone, m);
   g_assert_true (sim_logged (sim, "begun anew"));
--- a/tests/test-loopback.c
+++ b/tests/test-loopback.c
@@ -20,7 +20,7 @@
   guint node;
   bool flying;
   gint64 next_us, sent_us;
-  guint64 tenure;
+  guint64 session;
 } Worker;
 
 static struct
@@ -149,7 +149,7 @@
   w->flying = false;
   advance ();
   if (status == 200)
-    world_response (t.world, w->machine, w->sent_us, w->tenure, body);
+    world_response (t.world, w->machine, w->sent_us, w->session, body);
   else if (status == 421 && node)
     w->node = (guint)(node[strlen (node) - 1] - '0') % NODES;
   else
@@ -165,7 +165,7 @@
     return;
   w->flying = true;
   w->sent_us = now;
-  w->tenure = w->machine->tenure;
+  w->session = w->machine->session;
   g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u/hello", t.front[w->node]);
   g_autoptr (SoupMessage) m = soup_message_new ("POST", url);
   g_autoptr (MhValue) report = world_report (t.world, w->machine);
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -426,7 +426,7 @@
   Sim *sim = sim_new (77);
   SimUser *u = running_service (sim, 1, 1);
   SimWorker *w = worker_of (sim, "j-000001/0");
-  w->machine->tick += 100; /* the next session counts from the beginning */
+  w->machine->sequence += 100; /* the next session counts from the beginning */
   g_autoptr (MhValue) old = world_report (sim->world, w->machine);
   w->mute_us = sim->now_us + 22 * MH_SECOND_US; /* its lease ends */
   sim_run (sim, 24);
--- a/tests/world.c
+++ b/tests/world.c
@@ -447,7 +447,7 @@
   m->spot = spot;
   m->rented_us = w->now_us;
   m->up_us = w->now_us + w->boot_us;
-  m->tenure = 1;
+  m->session = 1;
   m->tasks = g_array_new (FALSE, FALSE, sizeof (WorldTask));
   g_array_set_clear_func (m->tasks, task_clear);
   m->images = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -834,15 +834,15 @@
 {
   static const char *const phases[] = { "pulling", "gathering", "running", "saving", "ended" };
   MhValue *b = mh_value_map (), *legs = mh_value_list ();
-  m->tick++;
+  m->sequence++;
   mh_value_set_text (b, "box", m->name);
   mh_value_set_text (b, "endpoint", m->endpoint);
   mh_value_set_text (b, "rack", m->type);
   mh_value_set_text (b, "hall", m->zone);
   mh_value_set_bool (b, "standby", m->spot);
-  mh_value_set_uint (b, "tenure", m->tenure);
-  mh_value_set_uint (b, "tick", m->tick);
-  mh_value_set_uint (b, "epoch", m->epoch);
+  mh_value_set_uint (b, "tenure", m->session);
+  mh_value_set_uint (b, "tick", m->sequence);
+  mh_value_set_uint (b, "epoch", m->token);
   if (m->taken_us)
     mh_value_set_number (b, "warning_s", (double)(m->taken_us - w->now_us) / 1e6);
   for (guint i = 0; i < m->tasks->len; i++)
@@ -861,13 +861,13 @@
 }
 
 void
-world_response (World *w, WorldMachine *m, gint64 sent_us, guint64 tenure, const MhValue *body)
+world_response (World *w, WorldMachine *m, gint64 sent_us, guint64 session, const MhValue *body)
 {
-  guint64 epoch;
-  if (!m->up || tenure != m->tenure || !mh_value_get_uint (body, "epoch", &epoch)
-      || epoch < m->epoch)
+  guint64 token;
+  if (!m->up || session != m->session || !mh_value_get_uint (body, "epoch", &token)
+      || token < m->token)
     return;
-  m->epoch = epoch;
+  m->token = token;
   m->lease_from_us = MAX (m->lease_from_us, sent_us);
   obey (w, m, mh_value_get (body, "orders"));
 }
@@ -875,14 +875,14 @@
 guint
 world_commands (World *w, WorldMachine *m, const MhValue *body, MhValue **reply)
 {
-  guint64 epoch, tenure;
+  guint64 token, session;
   *reply = NULL;
-  if (!mh_value_get_uint (body, "epoch", &epoch) || !mh_value_get_uint (body, "tenure", &tenure))
+  if (!mh_value_get_uint (body, "epoch", &token) || !mh_value_get_uint (body, "tenure", &session))
     return 400;
-  bool ok = epoch >= m->epoch && tenure == m->tenure;
+  bool ok = token >= m->token && session == m->session;
   if (ok)
     {
-      m->epoch = epoch;
+      m->token = token;
       obey (w, m, mh_value_get (body, "orders"));
     }
   *reply = world_report (w, m);
@@ -911,8 +911,8 @@
   if (w->now_us > m->lease_from_us + w->settings->worker_lease_us)
     {
       g_array_set_size (m->tasks, 0);
-      m->tenure++;
-      m->tick = 0;
+      m->session++;
+      m->sequence = 0;
       m->lease_from_us = w->now_us;
     }
   for (guint i = 0; i < m->tasks->len; i++)
--- a/tests/world.h
+++ b/tests/world.h
@@ -24,7 +24,7 @@
   bool spot, up, gone, failed, sick;
   gint64 rented_us, up_us, gone_us, hung_until_us;
   gint64 taken_us; /* the cloud takes it back then, and it says so; 0: never */
-  guint64 tenure, tick, epoch;
+  guint64 session, sequence, token;
   gint64 lease_from_us; /* when the last answered report was sent */
   GArray *tasks;        /* WorldTask */
   GHashTable *images;
@@ -104,9 +104,9 @@
 world_fail (WorldMachine *machine);
 MhValue *
 world_report (World *world, WorldMachine *machine); /* a new report: the tick rises */
-/* What the worker does with the response to the report sent at `sent_us` under `tenure`. */
+/* What the worker does with the response to the report sent at `sent_us` under `session`. */
 void
-world_response (World *world, WorldMachine *machine, gint64 sent_us, guint64 tenure,
+world_response (World *world, WorldMachine *machine, gint64 sent_us, guint64 session,
                 const MhValue *body);
 guint
 world_commands (World *world, WorldMachine *machine, const MhValue *body, MhValue **reply);
