--- a/src/core-private.h
+++ b/src/core-private.h
@@ -583,7 +583,7 @@
 void
 mh_leader_step (MhCore *core);
 void
-mh_leader_news (MhCore *core, const char *node, guint64 epoch);
+mh_leader_announced (MhCore *core, const char *node, guint64 epoch);
 void
 mh_leader_loaded (MhCore *core);
 void
@@ -653,7 +653,7 @@
     gint64 shy_until_us;
     bool rebuilt; /* every machine that should has reported, or has had the time */
     gint64 rebuild_until_us;
-    gint64 told_us;
+    gint64 announced_us;
   } leader;
 
   /* leader's memory */
@@ -685,7 +685,7 @@
 
   struct
   {
-    gint64 types_us, list_us, step_us, tell_us;
+    gint64 types_us, list_us, step_us, summary_us;
     bool types_busy, list_busy, renting, listed;
     guint64 rentals;
     double lost_cpus;    /* in use on machines that failed, and not rented again yet */
--- a/src/core.c
+++ b/src/core.c
@@ -369,7 +369,7 @@
 }
 
 static void
-withdraw (MhCore *core, guint64 id, MhJob *job)
+cancel (MhCore *core, guint64 id, MhJob *job)
 {
   if (job->final || job->cancel_durable)
     {
@@ -383,7 +383,7 @@
       mh_store_touch (core, &job->records[0], MH_URGENCY_USER);
       mh_fleet_kill_job (core, job);
     }
-  MhWaiter w = { .id = id, .verb = MH_USER_WITHDRAW };
+  MhWaiter w = { .id = id, .verb = MH_USER_CANCEL };
   g_array_append_val (job->waiters, w);
 }
 
@@ -434,7 +434,7 @@
   else if (job && verb == MH_USER_STATUS)
     mh_core_answer_job (core, id, job, 200);
   else if (job)
-    withdraw (core, id, job);
+    cancel (core, id, job);
   else if (final)
     mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
   else
@@ -486,10 +486,10 @@
 }
 
 void
-mh_core_news (MhCore *core, const MhNow *now, const char *node, guint64 epoch)
+mh_core_leader_announced (MhCore *core, const MhNow *now, const char *node, guint64 epoch)
 {
   enter (core, now);
-  mh_leader_news (core, node, epoch);
+  mh_leader_announced (core, node, epoch);
   mh_core_step (core);
 }
 
--- a/src/core.h
+++ b/src/core.h
@@ -16,10 +16,10 @@
 
 typedef enum
 {
-  MH_ACTION_CALL,        /* make a request; its end comes back through mh_core_reply */
-  MH_ACTION_TELL,        /* tell another controller that this one leads, with epoch `id` */
-  MH_ACTION_FORWARD,     /* hand a user's request to another controller */
-  MH_ACTION_ANSWER_USER, /* answer a user's request */
+  MH_ACTION_CALL,            /* make a request; its end comes back through mh_core_reply */
+  MH_ACTION_ANNOUNCE_LEADER, /* tell another controller that this one leads, with epoch `id` */
+  MH_ACTION_FORWARD,         /* hand a user's request to another controller */
+  MH_ACTION_ANSWER_USER,     /* answer a user's request */
   MH_ACTION_ANSWER_REPORT,
   MH_ACTION_LOG
 } MhActionKind;
@@ -33,7 +33,7 @@
   MhUserAnswer answer;
   guint status;    /* ANSWER_REPORT */
   MhValue *body;   /* ANSWER_REPORT */
-  char *text;      /* FORWARD, TELL: the node; LOG: the line */
+  char *text;      /* FORWARD, ANNOUNCE_LEADER: the node; LOG: the line */
   gint64 until_us; /* rests on a lease that ends then; 0: on none */
   GLogLevelFlags level;
 } MhAction;
@@ -64,7 +64,7 @@
 mh_core_forwarded (MhCore *core, const MhNow *now, guint64 id, const MhUserAnswer *answer);
 /* Another controller says that it leads. */
 void
-mh_core_news (MhCore *core, const MhNow *now, const char *node, guint64 epoch);
+mh_core_leader_announced (MhCore *core, const MhNow *now, const char *node, guint64 epoch);
 
 /* `mono_us` is the steady clock at this moment, which may be long after the input. */
 MhAction *
--- a/src/gang.c
+++ b/src/gang.c
@@ -97,7 +97,7 @@
 /* Where a machine cannot be told directly, its next report may come too late for the gang to save
    together. */
 static void
-tell_if_late (MhCore *core, const MhJob *job)
+log_if_unreachable (MhCore *core, const MhJob *job)
 {
   for (guint i = 0; i < job->spec->tasks; i++)
     {
@@ -118,7 +118,7 @@
 {
   bool saves = grace_us > 0 && job->n_running;
   if (saves && !job->ending)
-    tell_if_late (core, job);
+    log_if_unreachable (core, job);
   job->ending = true;
   for (guint i = 0; i < job->spec->tasks && job->n_live; i++)
     {
--- a/src/leader.c
+++ b/src/leader.c
@@ -11,7 +11,7 @@
 #define MARGIN_US 100000
 /* How often the leader tells the others that it leads: a node that cannot reach the state service
    has no other way to know. */
-#define TELL_US (MH_SECOND_US)
+#define ANNOUNCE_US (MH_SECOND_US)
 /* A leader that has handed over lets the others try first for so long. */
 #define SHY_US (4 * MH_SECOND_US)
 #define WATCH_US (5 * MH_SECOND_US)
@@ -115,16 +115,16 @@
 {
   guint64 ledger;
   (void)data;
-  g_autoptr (GPtrArray) news = status == 200 ? mh_wire_read_news (body, &ledger) : NULL;
-  if (news == NULL)
+  g_autoptr (GPtrArray) events = status == 200 ? mh_wire_read_events (body, &ledger) : NULL;
+  if (events == NULL)
     {
       retry (core, 200000);
       return;
     }
   const MhEntry *last = NULL;
-  for (guint i = 0; i < news->len; i++)
+  for (guint i = 0; i < events->len; i++)
     {
-      const MhEntry *e = g_ptr_array_index (news, i);
+      const MhEntry *e = g_ptr_array_index (events, i);
       if (strcmp (e->key, "leader") == 0)
         last = e;
     }
@@ -452,9 +452,10 @@
 /* A node that is cut off from the state service learns here who leads: it passes users and workers
    on, and a former leader stops keeping the workers to itself. */
 void
-mh_leader_news (MhCore *core, const char *node, guint64 epoch)
+mh_leader_announced (MhCore *core, const char *node, guint64 epoch)
 {
-  /* The end of a leadership is told by the state service; late news of it must not undo that. */
+  /* The end of a leadership is told by the state service; a late announcement of it must not undo
+   * that. */
   if (epoch < core->leader.epoch || (epoch == core->leader.epoch && core->leader.node == NULL)
       || strcmp (node, core->settings->node) == 0)
     return;
@@ -504,12 +505,12 @@
       refuse_waiters (core);
       return;
     }
-  if (now >= core->leader.told_us + TELL_US)
+  if (now >= core->leader.announced_us + ANNOUNCE_US)
     {
-      core->leader.told_us = now;
+      core->leader.announced_us = now;
       for (guint i = 0; i < core->settings->members->len; i++)
         {
-          MhAction *a = mh_core_act (core, MH_ACTION_TELL, core->leader.own_epoch);
+          MhAction *a = mh_core_act (core, MH_ACTION_ANNOUNCE_LEADER, core->leader.own_epoch);
           a->text = g_strdup (((MhMember *)g_ptr_array_index (core->settings->members, i))->name);
         }
     }
--- a/src/peer.c
+++ b/src/peer.c
@@ -61,10 +61,10 @@
 }
 
 GByteArray *
-mh_peer_write_news (const char *node, guint64 epoch)
+mh_peer_write_announcement (const char *node, guint64 epoch)
 {
-  peer_message m = { .kind = PEER_NEWS };
-  m.peer_message_u.news = (peer_news){ .node = (char *)node, .epoch = epoch };
+  peer_message m = { .kind = PEER_ANNOUNCEMENT };
+  m.peer_message_u.announcement = (peer_announcement){ .node = (char *)node, .epoch = epoch };
   return write_record (&m);
 }
 
@@ -75,8 +75,7 @@
   if (x->kind == PEER_CALL)
     {
       const peer_call *call = &x->peer_message_u.call;
-      if (call->verb < PEER_SUBMIT || call->verb > PEER_WITHDRAW
-          || !mh_wire_job_id_valid (call->job))
+      if (call->verb < PEER_SUBMIT || call->verb > PEER_CANCEL || !mh_wire_job_id_valid (call->job))
         return false;
       m->kind = MH_PEER_CALL;
       m->id = call->id;
@@ -85,11 +84,11 @@
       m->body = g_bytes_new (call->body.body_val, call->body.body_len);
       return true;
     }
-  if (x->kind == PEER_NEWS)
+  if (x->kind == PEER_ANNOUNCEMENT)
     {
-      m->kind = MH_PEER_NEWS;
-      m->id = x->peer_message_u.news.epoch;
-      m->job = g_strdup (x->peer_message_u.news.node);
+      m->kind = MH_PEER_ANNOUNCEMENT;
+      m->id = x->peer_message_u.announcement.epoch;
+      m->job = g_strdup (x->peer_message_u.announcement.node);
       return *m->job != '\0';
     }
   const peer_answer *a = &x->peer_message_u.answer;
--- a/src/peer.h
+++ b/src/peer.h
@@ -7,15 +7,15 @@
 {
   MH_PEER_CALL,
   MH_PEER_ANSWER,
-  MH_PEER_NEWS
+  MH_PEER_ANNOUNCEMENT
 } MhPeerKind;
 
 typedef struct
 {
   MhPeerKind kind;
-  guint64 id;      /* NEWS: the epoch */
+  guint64 id;      /* ANNOUNCEMENT: the epoch */
   MhUserVerb verb; /* CALL */
-  char *job;       /* CALL; NEWS: the node that leads */
+  char *job;       /* CALL; ANNOUNCEMENT: the node that leads */
   GBytes *body;    /* CALL */
   MhUserAnswer answer;
 } MhPeerMessage;
@@ -29,7 +29,7 @@
 GByteArray *
 mh_peer_write_answer (guint64 id, const MhUserAnswer *answer);
 GByteArray *
-mh_peer_write_news (const char *node, guint64 epoch);
+mh_peer_write_announcement (const char *node, guint64 epoch);
 
 typedef enum
 {
--- a/src/peer_xdr.x
+++ b/src/peer_xdr.x
@@ -7,7 +7,7 @@
 enum peer_verb {
   PEER_SUBMIT = 1,
   PEER_STATUS = 2,
-  PEER_WITHDRAW = 3
+  PEER_CANCEL = 3
 };
 
 struct peer_call {
@@ -27,7 +27,7 @@
 };
 
 /* Who leads, as the leader itself says: a hint, never a proof. */
-struct peer_news {
+struct peer_announcement {
   string node<PEER_NAME_MAX>;
   unsigned hyper epoch;
 };
@@ -35,7 +35,7 @@
 enum peer_kind {
   PEER_CALL = 1,
   PEER_ANSWER = 2,
-  PEER_NEWS = 3
+  PEER_ANNOUNCEMENT = 3
 };
 
 union peer_message switch (peer_kind kind) {
@@ -43,6 +43,6 @@
   peer_call call;
 case PEER_ANSWER:
   peer_answer answer;
-case PEER_NEWS:
-  peer_news news;
+case PEER_ANNOUNCEMENT:
+  peer_announcement announcement;
 };
--- a/src/scale.c
+++ b/src/scale.c
@@ -8,7 +8,7 @@
 #define LIST_US (5 * MH_SECOND_US)
 #define STEP_US (MH_SECOND_US / 2)
 #define REFUSED_US (15 * MH_SECOND_US)
-#define TELL_US (10 * MH_SECOND_US)
+#define SUMMARY_US (10 * MH_SECOND_US)
 /* A machine is emptied when no more of it is in use, and the others would not be fuller than this.
    Replicas younger than this are left alone: a start that is undone at once is none. */
 #define EMPTY_ENOUGH 0.5
@@ -794,7 +794,7 @@
 
 /* One line for the operator: what is paid for and what it does. */
 static void
-tell_fleet (MhCore *core)
+log_summary (MhCore *core)
 {
   guint live = 0, coming = 0, idle = 0, leaving = 0;
   double all = 0, used = 0, an_hour = 0;
@@ -826,10 +826,10 @@
 mh_scale_step (MhCore *core)
 {
   gint64 now = core->now.mono_us;
-  if (now >= core->scale.tell_us)
+  if (now >= core->scale.summary_us)
     {
-      core->scale.tell_us = now + TELL_US;
-      tell_fleet (core);
+      core->scale.summary_us = now + SUMMARY_US;
+      log_summary (core);
     }
   if (!core->scale.types_busy && now >= core->scale.types_us)
     {
--- a/src/shell.c
+++ b/src/shell.c
@@ -294,8 +294,8 @@
           mh_core_forwarded (shell->core, &t, r->id, &m->answer);
         }
     }
-  else if (m->kind == MH_PEER_NEWS)
-    mh_core_news (shell->core, &t, m->job, m->id);
+  else if (m->kind == MH_PEER_ANNOUNCEMENT)
+    mh_core_leader_announced (shell->core, &t, m->job, m->id);
   else
     {
       MhJobSpec *spec = NULL;
@@ -477,7 +477,7 @@
   Peer *p = peer_to (shell, a->text);
   /* What a slow or absent controller has not taken yet need not be said twice. */
   if (p && p->out->len == 0)
-    peer_send (p, mh_peer_write_news (shell->settings->node, a->id));
+    peer_send (p, mh_peer_write_announcement (shell->settings->node, a->id));
 }
 
 /* ---- calls ---- */
@@ -642,7 +642,7 @@
         case MH_ACTION_FORWARD:
           forward (shell, a);
           break;
-        case MH_ACTION_TELL:
+        case MH_ACTION_ANNOUNCE_LEADER:
           tell (shell, a);
           break;
         case MH_ACTION_ANSWER_USER:
@@ -818,7 +818,7 @@
     }
   if (what == STATUS || what == WITHDRAW)
     {
-      handle_job (shell, m, what == STATUS ? MH_USER_STATUS : MH_USER_WITHDRAW, parts[2]);
+      handle_job (shell, m, what == STATUS ? MH_USER_STATUS : MH_USER_CANCEL, parts[2]);
       return;
     }
   g_autoptr (GBytes) bytes = soup_message_body_flatten (soup_server_message_get_request_body (m));
--- a/src/store.c
+++ b/src/store.c
@@ -855,7 +855,7 @@
   g_autofree char *key = stage == READ_LEADER
                              ? g_strdup ("leader")
                              : g_strconcat (stage == READ_FINAL ? "f/" : "j/", l->job, NULL);
-  mh_core_call (l->core, l->verb == MH_USER_WITHDRAW ? MH_RANK_RULES : MH_RANK_STRANGER,
+  mh_core_call (l->core, l->verb == MH_USER_CANCEL ? MH_RANK_RULES : MH_RANK_STRANGER,
                 mh_wire_get (key), 0, CALL_TIMEOUT_US, lookup_reply, l, lookup_free);
 }
 
--- a/src/types.h
+++ b/src/types.h
@@ -148,7 +148,7 @@
 {
   MH_USER_SUBMIT = 1,
   MH_USER_STATUS = 2,
-  MH_USER_WITHDRAW = 3
+  MH_USER_CANCEL = 3
 } MhUserVerb;
 
 typedef struct
--- a/src/wire.c
+++ b/src/wire.c
@@ -867,7 +867,7 @@
 }
 
 GPtrArray *
-mh_wire_read_news (const MhValue *b, guint64 *ledger)
+mh_wire_read_events (const MhValue *b, guint64 *ledger)
 {
   MhValue *list = mh_value_get (b, "news");
   if (list == NULL || !cbor_isa_array (list) || !mh_value_get_uint (b, "ledger", ledger))
--- a/src/wire.h
+++ b/src/wire.h
@@ -118,7 +118,7 @@
 GPtrArray *
 mh_wire_read_entries (const MhValue *body, bool *more, guint64 *ledger);
 GPtrArray *
-mh_wire_read_news (const MhValue *body, guint64 *ledger);
+mh_wire_read_events (const MhValue *body, guint64 *ledger);
 bool
 mh_wire_read_ledger (const MhValue *body, guint64 *ledger);
 char **
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -376,14 +376,14 @@
 }
 
 static void
-news_arrive (Sim *sim, gpointer data)
+announcement_arrive (Sim *sim, gpointer data)
 {
   Between *b = data;
   SimNode *n = &sim->nodes[b->to];
   if (n->core == NULL || peers_cut (sim, b->from, b->to))
     return;
   MhNow t = node_now (n);
-  mh_core_news (n->core, &t, b->job, b->id);
+  mh_core_leader_announced (n->core, &t, b->job, b->id);
   node_drain (n);
 }
 
@@ -532,15 +532,15 @@
             at (sim, sim->now_us + delay (sim), flight_arrive, g_rc_box_acquire (f), flight_unref);
           flight_unref (f);
         }
-      else if (a->kind == MH_ACTION_TELL)
+      else if (a->kind == MH_ACTION_ANNOUNCE_LEADER)
         {
           Between *b = g_new0 (Between, 1);
           b->from = n->index;
           b->to = node_named (sim, a->text)->index;
           b->job = g_strdup (n->name);
           b->id = a->id;
-          at_node (sim, node_named (sim, a->text), sim->now_us + delay (sim), news_arrive, b,
-                   between_free);
+          at_node (sim, node_named (sim, a->text), sim->now_us + delay (sim), announcement_arrive,
+                   b, between_free);
         }
       else if (a->kind == MH_ACTION_FORWARD)
         node_forward (n, a);
@@ -849,7 +849,7 @@
     rule (sim, "went_back", u, a);
   if (a->state == MH_JOB_CANCELLED)
     {
-      if (!u->withdraw || u->told_done)
+      if (!u->cancels || u->told_done)
         rule (sim, "went_back", u, a);
       u->told_cancelled = true;
       if (j->cancelled_us == 0)
@@ -872,9 +872,9 @@
   o->user = u;
   /* What was carried out is now and then asked for again. */
   bool again = g_rand_double (sim->random) < (settled ? 0.5 : sim->copies);
-  o->verb = !u->job->accepted || again                                  ? MH_USER_SUBMIT
-            : u->withdraw && (!settled || g_rand_boolean (sim->random)) ? MH_USER_WITHDRAW
-                                                                        : MH_USER_STATUS;
+  o->verb = !u->job->accepted || again                                 ? MH_USER_SUBMIT
+            : u->cancels && (!settled || g_rand_boolean (sim->random)) ? MH_USER_CANCEL
+                                                                       : MH_USER_STATUS;
   o->job = g_strdup (u->job->spec->id);
   MhNow t = node_now (n);
   mh_core_user (n->core, &t, node_request (n, o), o->verb, u->job->spec->id,
@@ -904,7 +904,7 @@
       u->ended = true;
       if (g_rand_double (sim->random) >= sim->cancel_at_end)
         continue;
-      sim_withdraw (u);
+      sim_cancel (u);
       user_asks (sim, u);
       user_asks (sim, u);
     }
@@ -942,9 +942,9 @@
 }
 
 void
-sim_withdraw (SimUser *u)
+sim_cancel (SimUser *u)
 {
-  u->withdraw = true;
+  u->cancels = true;
 }
 
 void
@@ -1160,7 +1160,7 @@
       const SimUser *u = g_ptr_array_index (sim->users, i);
       bool settled = u->impossible || u->told_done
                      || (u->told_cancelled && !world_running (sim->world, u->job->spec->id));
-      bool lives = u->job->run_us == 0 && !u->withdraw
+      bool lives = u->job->run_us == 0 && !u->cancels
                    && world_running (sim->world, u->job->spec->id) == u->job->spec->tasks;
       if (!settled && !lives)
         return false;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -53,7 +53,7 @@
 {
   Sim *sim;
   WorldJob *job;
-  bool withdraw; /* the user asks for it */
+  bool cancels; /* the user asks for it */
   bool told_done, told_cancelled;
   bool impossible; /* the job can never run: it must not be accepted */
   bool ended;      /* its last task has */
@@ -124,7 +124,7 @@
 SimUser *
 sim_submit (Sim *sim, MhJobSpec *spec, double run_s);
 void
-sim_withdraw (SimUser *user);
+sim_cancel (SimUser *user);
 /* One request of its own; the answer's status, 0 when none came. */
 /* `answer` is filled when one comes; it must outlive that. */
 void
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -23,7 +23,7 @@
           sim_ask (sim, i, MH_USER_SUBMIT, "j-000001", sim_spec (1, MH_SHAPE_ARRAY, 10, 1), &a), ==,
           200);
       g_assert_cmpint (a.state, ==, MH_JOB_DONE);
-      g_assert_cmpuint (sim_ask (sim, i, MH_USER_WITHDRAW, "j-000001", NULL, &a), ==, 200);
+      g_assert_cmpuint (sim_ask (sim, i, MH_USER_CANCEL, "j-000001", NULL, &a), ==, 200);
       g_assert_cmpint (a.state, ==, MH_JOB_DONE);
       g_assert_cmpuint (sim_ask (sim, i, MH_USER_STATUS, "j-777777", NULL, &a), ==, 404);
     }
@@ -200,7 +200,7 @@
   SimUser *u = running_service (sim, 3, 2), *array = NULL;
   array = sim_submit (sim, sim_spec (4, MH_SHAPE_ARRAY, 3, 1), 2);
   WAIT (sim, 30, told_done, array);
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 10, told_cancelled, u);
   sim_run (sim, 45); /* cleared by now */
   guint starts = sim->world->starts, rented = (guint)sim->world->n_rented;
@@ -221,7 +221,7 @@
   SimUser *u = running_service (sim, 1, 1);
   WorldMachine *m = worker_of (sim, "j-000001/0")->machine;
   sim_run (sim, 60); /* paid for anyway until then */
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 10, told_cancelled, u);
   sim->world->cloud_outage_until_us = sim->now_us + 20 * MH_SECOND_US;
   for (guint i = 0; i < 150 && !sim_logged (sim, "given back: idle"); i++)
@@ -322,7 +322,7 @@
   sim->hold_commands = true;
   SimUser *u = sim_submit (sim, sim_spec (3, MH_SHAPE_SERVICE, 1, 1), 0);
   WAIT (sim, 10, accepted, u);
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 10, told_cancelled, u);
   sim_run (sim, 1);
   sim_release_commands (sim);
@@ -343,7 +343,7 @@
   m->hung_until_us = sim->now_us + 200 * MH_SECOND_US;
   sim_submit (sim, sim_spec (3, MH_SHAPE_ARRAY, 16, 1), 200);
   sim_run (sim, 100);
-  sim_withdraw (u);
+  sim_cancel (u);
   sim_run (sim, 60);
   finish (sim);
 }
@@ -429,7 +429,7 @@
   SimNode *leader = sim_leader (sim);
   leader->writes_lost_us = sim->now_us + 12 * MH_SECOND_US;
   sim_run (sim, 6);
-  sim_withdraw (service);
+  sim_cancel (service);
   sim_run (sim, 4);
   g_assert_true (sim_leader (sim) == leader);
   g_assert_nonnull (worker_of (sim, "j-000004/0"));
@@ -594,7 +594,7 @@
   old->state_cut_us = old->peers_cut_us = sim->now_us + 200 * MH_SECOND_US;
   sim->world->cloud_outage_until_us = sim->now_us + 200 * MH_SECOND_US; /* no machine is released */
   sim_run (sim, 3);
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 20, told_cancelled, u);
   sim_run (sim, 60); /* the world checks cancel_s */
   g_assert_cmpuint (world_running (sim->world, "j-000001"), ==, 0);
@@ -963,7 +963,7 @@
   WAIT (sim, 10, has_leader, NULL);
   sim_run (sim, 15);
   g_assert_cmpuint (u->job->n_done, >, 0);
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 10, told_cancelled, u);
   sim_run (sim, 60);
   g_assert_cmpuint (world_running (sim->world, "j-000002"), ==, 0);
--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -246,7 +246,7 @@
       SimUser *u = sim_submit (sim, gang_spec (1, 5, 2), 60);
       WAIT (sim, 30, accepted, u);
       sim_run (sim, 0.8 * step);
-      sim_withdraw (u);
+      sim_cancel (u);
       WAIT (sim, 10, told_cancelled, u);
       sim_run (sim, 50);
       g_assert_cmpuint (world_running (sim->world, "j-000001"), ==, 0);
@@ -270,7 +270,7 @@
   WAIT (sim, 20, all_run, urgent);
   g_assert_cmpuint (u->job->saves, ==, 1);
   g_assert_cmpint (u->job->saved_us, >, 4 * MH_SECOND_US);
-  sim_withdraw (urgent);
+  sim_cancel (urgent);
   WAIT (sim, 90, told_done, u);
   finish (sim);
 }
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -41,7 +41,7 @@
     old->peers_cut_us = sim->now_us + 300 * MH_SECOND_US;
   sim->hold_commands = true;
   sim->world->cloud_outage_until_us = sim->now_us + 300 * MH_SECOND_US; /* no machine is released */
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 20, told_cancelled, u);
   g_assert_true (sim_leader (sim) != old);
   sim_run (sim, outage_s);
@@ -78,7 +78,7 @@
     sim->nodes[i].lists_lost_us = sim->now_us + 60 * MH_SECOND_US;
   for (guint i = 0; i < sim->workers->len; i++)
     worker (sim, i)->mute_us = sim->now_us + 3 * MH_SECOND_US;
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 3, told_cancelled, u);
   sim_stop_node (sim, old);
   sim_run (sim, 80);
@@ -111,7 +111,7 @@
   old->state_cut_us = old->peers_cut_us = sim->now_us + 100 * MH_SECOND_US;
   sim->hold_commands = true;
   sim->world->cloud_outage_until_us = sim->now_us + 100 * MH_SECOND_US;
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 20, told_cancelled, u);
   sim->world->outage_until_us = sim->now_us + 40 * MH_SECOND_US;
   sim_run (sim, 40);
@@ -161,7 +161,7 @@
   SimUser *third = running_service (sim, 3, 2);
   worker_of (sim, "j-000003/0")->mute_us = sim->now_us + 200 * MH_SECOND_US;
   sim_run (sim, 2);
-  sim_withdraw (third);
+  sim_cancel (third);
   sim_run (sim, 60);
   g_assert_cmpuint (world_running (sim->world, "j-000003"), ==, 0);
   finish (sim);
@@ -231,7 +231,7 @@
   old->state_cut_us = old->peers_cut_us = sim->now_us + 60 * MH_SECOND_US;
   sim->hold_commands = true; /* no worker tells the old one of the new */
   sim_run (sim, 3);
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 20, told_cancelled, u);
   sim_ask (sim, old->index, MH_USER_STATUS, "j-000001", NULL, &a);
   g_assert_true (a.status == 503 || a.state == MH_JOB_CANCELLED);
@@ -281,13 +281,13 @@
       if (i == 4)
         sim->world->outage_until_us = sim->now_us + 20 * MH_SECOND_US;
       if (i == 6)
-        sim_withdraw (u);
+        sim_cancel (u);
       sim_stop_node (sim, stopped);
       sim_run (sim, 3);
       sim_start_node (sim, stopped);
       sim_run (sim, 9);
       if (i % 3 == 0)
-        sim_withdraw (next);
+        sim_cancel (next);
     }
   wait_all (sim, 200);
   g_assert_true (u->told_cancelled);
@@ -309,7 +309,7 @@
   SimWorker *lost = worker_of (sim, "j-000002/0");
   lost->cut_us = sim->now_us + 30 * MH_SECOND_US;
   sim_stop_node (sim, sim_leader (sim)->index);
-  sim_withdraw (u);
+  sim_cancel (u);
   WAIT (sim, 20, told_cancelled, u);
   WAIT (sim, 200, told_done, more); /* the world checks the limit at each start */
   finish (sim);
@@ -329,7 +329,7 @@
           SimUser *u = sim_submit (sim, sim_spec (i, MH_SHAPE_ARRAY, 3, 1), 3);
           sim_run (sim, 4);
           if (i % 4 == 0)
-            sim_withdraw (u);
+            sim_cancel (u);
           SimNode *leader = i % 3 == 0 ? sim_leader (sim) : NULL;
           if (leader)
             {
@@ -596,7 +596,7 @@
       g_assert_cmpuint (
           sim_ask (sim, i, MH_USER_SUBMIT, "j-000001", sim_spec (1, MH_SHAPE_SERVICE, 1, 1), &a),
           ==, 200);
-      g_assert_cmpuint (sim_ask (sim, i, MH_USER_WITHDRAW, "j-000002", NULL, &a), ==, 200);
+      g_assert_cmpuint (sim_ask (sim, i, MH_USER_CANCEL, "j-000002", NULL, &a), ==, 200);
       g_assert_cmpint (a.state, ==, MH_JOB_DONE);
     }
   /* Two of three nodes end, the leader among them, and the third cannot be elected: what can be
@@ -665,7 +665,7 @@
       sim_run (sim, 1 + 0.1 * step);
       if (step)
         sim_stop_node (sim, sim_leader (sim) ? sim_leader (sim)->index : 0);
-      sim_withdraw (cancelled);
+      sim_cancel (cancelled);
       sim_run (sim, 0.7 * step);
       for (guint i = 0; i < SIM_NODES; i++)
         sim_start_node (sim, i);
--- a/tests/test-random.c
+++ b/tests/test-random.c
@@ -17,7 +17,7 @@
     {
       SimUser *u = g_ptr_array_index (sim->users, i);
       if (u->told_done)
-        sim_withdraw (u);
+        sim_cancel (u);
     }
   sim_submit (sim, s, 1)->impossible = true;
 }
@@ -158,8 +158,7 @@
       if (turn > 5 && g_rand_int_range (r, 0, 3) == 0)
         some_trouble (sim);
       if (sim->users->len && g_rand_int_range (r, 0, 6) == 0)
-        sim_withdraw (
-            g_ptr_array_index (sim->users, g_rand_int_range (r, 0, (gint)sim->users->len)));
+        sim_cancel (g_ptr_array_index (sim->users, g_rand_int_range (r, 0, (gint)sim->users->len)));
       for (guint i = 0; i < SIM_NODES; i++)
         if (g_rand_boolean (r))
           sim_start_node (sim, i);
@@ -174,7 +173,7 @@
     {
       SimUser *u = g_ptr_array_index (sim->users, i);
       if (u->job->run_us == 0)
-        sim_withdraw (u);
+        sim_cancel (u);
     }
   bool settled = false;
   for (guint second = 0; second < 400 && !settled; second++)
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -140,8 +140,8 @@
                   &m);
   g_assert_cmpint (m.answer.state, ==, MH_JOB_CANCELLED);
   mh_peer_message_clear (&m);
-  assert_message (mh_peer_write_news ("worker-1", 1000001), production_news, sizeof production_news,
-                  &m);
+  assert_message (mh_peer_write_announcement ("worker-1", 1000001), production_news,
+                  sizeof production_news, &m);
   g_assert_cmpuint (m.id, ==, 1000001);
   mh_peer_message_clear (&m);
 }
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -179,7 +179,7 @@
       g_clear_pointer (&(GPtrArray *){ mh_wire_read_machine_list (v, &more) }, g_ptr_array_unref);
       g_clear_pointer (&(GPtrArray *){ mh_wire_read_entries (v, &more, &number) },
                        g_ptr_array_unref);
-      g_clear_pointer (&(GPtrArray *){ mh_wire_read_news (v, &number) }, g_ptr_array_unref);
+      g_clear_pointer (&(GPtrArray *){ mh_wire_read_events (v, &number) }, g_ptr_array_unref);
       mh_wire_read_claim (v, &number);
       mh_record_read_final (v, &a);
       mh_value_json_size (v);
@@ -272,8 +272,9 @@
   g_autoptr (GByteArray) buffer = g_byte_array_new ();
   g_autoptr (GBytes) body = g_bytes_new_static ("\xa0", 1);
   MhUserAnswer answer = { .status = 200, .state = MH_JOB_DONE, .done = 3 };
-  GByteArray *records[] = { mh_peer_write_call (7, MH_USER_SUBMIT, "j-000001", body),
-                            mh_peer_write_answer (8, &answer), mh_peer_write_news ("node-1", 9) };
+  GByteArray *records[]
+      = { mh_peer_write_call (7, MH_USER_SUBMIT, "j-000001", body),
+          mh_peer_write_answer (8, &answer), mh_peer_write_announcement ("node-1", 9) };
   for (guint i = 0; i < G_N_ELEMENTS (records); i++)
     {
       g_byte_array_append (buffer, records[i]->data, records[i]->len);
