--- a/src/core-private.h
+++ b/src/core-private.h
@@ -61,7 +61,7 @@
 {
   MhJob *job;
   guint chunk;
-  guint64 stamp;   /* 0: does not exist yet */
+  guint64 version; /* 0: does not exist yet */
   guint64 rev;     /* of memory */
   guint64 durable; /* of the state service */
   guint64 laid;    /* ... while the job is being laid out anew, and counts only after that */
@@ -140,9 +140,9 @@
 mh_record_write (const MhRecord *record, const char *tag);
 MhValue *
 mh_record_write_final (const MhJob *job, const char *tag);
-/* The grant tells an earlier life of the same node from this one. */
+/* The lease tells an earlier life of the same node from this one. */
 MhValue *
-mh_record_write_leader (const char *node, guint64 epoch, guint64 claim);
+mh_record_write_leader (const char *node, guint64 epoch, guint64 lease_id);
 /* Keys of machines that are being given back begin with this. */
 #define MH_RECORD_RELEASES "r/"
 MhValue *
@@ -152,7 +152,7 @@
 MhValue *
 mh_record_write_epoch (guint64 epoch);
 bool
-mh_record_read_leader (const MhValue *value, char **node, guint64 *epoch, guint64 *claim);
+mh_record_read_leader (const MhValue *value, char **node, guint64 *epoch, guint64 *lease_id);
 bool
 mh_record_read_epoch (const MhValue *value, guint64 *epoch);
 bool
@@ -636,10 +636,10 @@
     MhPhase phase;
     char *node;    /* who leads, as far as known */
     guint64 epoch; /* that node's */
-    guint64 key_stamp;
+    guint64 key_version;
     guint64 own_epoch; /* while leading: the first of MH_EPOCHS_EACH */
-    guint64 own_stamp;
-    guint64 claim;
+    guint64 own_version;
+    guint64 lease_id;
     gint64 valid_until_us; /* of the lease, by the steady clock */
     gint64 confirmed_us;   /* a renewal that was answered was sent then */
     gint64 renew_us;
--- a/src/leader.c
+++ b/src/leader.c
@@ -56,8 +56,8 @@
 learn (MhCore *core, const MhEntry *e)
 {
   char *node = NULL;
-  guint64 epoch = 0, claim;
-  if (e->value == NULL || !mh_record_read_leader (e->value, &node, &epoch, &claim))
+  guint64 epoch = 0, lease_id;
+  if (e->value == NULL || !mh_record_read_leader (e->value, &node, &epoch, &lease_id))
     {
       g_clear_pointer (&core->leader.node, g_free);
       return;
@@ -70,7 +70,7 @@
   g_free (core->leader.node);
   core->leader.node = node;
   core->leader.epoch = epoch;
-  core->leader.key_stamp = e->stamp;
+  core->leader.key_version = e->version;
   core->leader.usable_us = core->now.mono_us;
 }
 
@@ -81,7 +81,7 @@
   if (status == 404)
     {
       g_clear_pointer (&core->leader.node, g_free);
-      core->leader.key_stamp = 0;
+      core->leader.key_version = 0;
       campaign (core);
       return;
     }
@@ -92,14 +92,14 @@
       return;
     }
   learn (core, e);
-  guint64 stamp = e->stamp;
+  guint64 version = e->version;
   mh_entry_free (e);
   /* An earlier life of this very process held the lease: nobody else may take it before its end,
      but this process may, since the earlier life is over. */
   if (self (core))
     campaign (core);
   else
-    watch (core, stamp);
+    watch (core, version);
 }
 
 static void
@@ -113,9 +113,9 @@
 static void
 watch_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  guint64 ledger;
+  guint64 revision;
   (void)data;
-  g_autoptr (GPtrArray) events = status == 200 ? mh_wire_read_events (body, &ledger) : NULL;
+  g_autoptr (GPtrArray) events = status == 200 ? mh_wire_read_events (body, &revision) : NULL;
   if (events == NULL)
     {
       retry (core, 200000);
@@ -131,14 +131,14 @@
   if (last == NULL)
     {
       core->leader.usable_us = core->now.mono_us;
-      watch (core, ledger);
+      watch (core, revision);
     }
   else if (last->value == NULL)
     {
       mh_info (core, "leader %s: its lease has ended",
                core->leader.node ? core->leader.node : "unknown");
       g_clear_pointer (&core->leader.node, g_free);
-      core->leader.key_stamp = 0;
+      core->leader.key_version = 0;
       campaign (core);
     }
   else
@@ -147,7 +147,7 @@
       if (self (core))
         campaign (core);
       else
-        watch (core, last->stamp);
+        watch (core, last->version);
     }
 }
 
@@ -176,17 +176,17 @@
 give_up_campaign (MhCore *core, gint64 again_us)
 {
   core->leader.phase = MH_PHASE_FOLLOW;
-  if (core->leader.claim)
-    mh_core_call (core, MH_RANK_STRANGER, mh_wire_revoke (core->leader.claim), 0, CALL_TIMEOUT_US,
-                  ignore_reply, NULL, NULL);
-  core->leader.claim = 0;
+  if (core->leader.lease_id)
+    mh_core_call (core, MH_RANK_STRANGER, mh_wire_lease_revoke (core->leader.lease_id), 0,
+                  CALL_TIMEOUT_US, ignore_reply, NULL, NULL);
+  core->leader.lease_id = 0;
   retry (core, again_us);
 }
 
 static void
-won (MhCore *core, guint64 stamp)
+won (MhCore *core, guint64 version)
 {
-  core->leader.own_stamp = core->leader.key_stamp = stamp;
+  core->leader.own_version = core->leader.key_version = version;
   g_free (core->leader.node);
   core->leader.node = g_strdup (core->settings->node);
   core->leader.epoch = core->leader.own_epoch;
@@ -206,16 +206,16 @@
   (void)data;
   MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
   g_autofree char *node = NULL;
-  guint64 epoch, claim;
+  guint64 epoch, lease_id;
   /* An earlier life of this node, ended in the middle of its election, may have put its name there
      with the very same epoch, late, and attached to a lease that nobody renews any more. */
-  bool mine = e && mh_record_read_leader (e->value, &node, &epoch, &claim)
+  bool mine = e && mh_record_read_leader (e->value, &node, &epoch, &lease_id)
               && strcmp (node, core->settings->node) == 0 && epoch == core->leader.own_epoch
-              && claim == core->leader.claim;
-  guint64 stamp = e ? e->stamp : 0;
+              && lease_id == core->leader.lease_id;
+  guint64 version = e ? e->version : 0;
   mh_entry_free (e);
   if (mine && core->now.mono_us < core->leader.valid_until_us)
-    won (core, stamp);
+    won (core, version);
   else
     give_up_campaign (core, 100000);
 }
@@ -223,12 +223,12 @@
 static void
 take_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  guint64 stamp;
+  guint64 version;
   (void)data;
-  if (status == 200 && mh_wire_read_ledger (body, &stamp))
+  if (status == 200 && mh_wire_read_revision (body, &version))
     {
       if (core->now.mono_us < core->leader.valid_until_us)
-        won (core, stamp);
+        won (core, version);
       else
         give_up_campaign (core, 100000);
     }
@@ -241,13 +241,13 @@
 }
 
 static void
-take (MhCore *core, guint64 epoch_stamp)
+take (MhCore *core, guint64 epoch_version)
 {
-  MhCondition conditions[] = { { "leader", core->leader.key_stamp }, { "epoch", epoch_stamp } };
-  g_autoptr (MhValue) leader
-      = mh_record_write_leader (core->settings->node, core->leader.own_epoch, core->leader.claim);
+  MhCondition conditions[] = { { "leader", core->leader.key_version }, { "epoch", epoch_version } };
+  g_autoptr (MhValue) leader = mh_record_write_leader (core->settings->node, core->leader.own_epoch,
+                                                       core->leader.lease_id);
   g_autoptr (MhValue) last = mh_record_write_epoch (core->leader.own_epoch + MH_EPOCHS_EACH - 1);
-  MhChange changes[] = { { "leader", leader, core->leader.claim }, { "epoch", last, 0 } };
+  MhChange changes[] = { { "leader", leader, core->leader.lease_id }, { "epoch", last, 0 } };
   mh_core_call (
       core, MH_RANK_LEASE,
       mh_wire_txn (conditions, G_N_ELEMENTS (conditions), changes, G_N_ELEMENTS (changes)), 2,
@@ -257,13 +257,13 @@
 static void
 epoch_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  guint64 epoch = 0, stamp = 0; /* the last one of all earlier leaders */
+  guint64 epoch = 0, version = 0; /* the last one of all earlier leaders */
   (void)data;
   if (status == 200)
     {
       MhEntry *e = mh_wire_read_entry (body);
       bool ok = e && mh_record_read_epoch (e->value, &epoch);
-      stamp = e ? e->stamp : 0;
+      version = e ? e->version : 0;
       mh_entry_free (e);
       if (!ok)
         status = 0;
@@ -274,7 +274,7 @@
       return;
     }
   core->leader.own_epoch = epoch + 1;
-  take (core, stamp);
+  take (core, version);
 }
 
 typedef struct
@@ -291,9 +291,9 @@
 }
 
 static void
-grant_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+lease_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
-  if (status != 200 || !mh_wire_read_claim (body, &core->leader.claim))
+  if (status != 200 || !mh_wire_read_lease (body, &core->leader.lease_id))
     {
       give_up_campaign (core, 200000);
       return;
@@ -317,9 +317,9 @@
     }
   core->leader.phase = MH_PHASE_CAMPAIGN;
   core->leader.busy = true;
-  core->leader.claim = 0;
-  mh_core_call (core, MH_RANK_LEASE, mh_wire_grant (core->settings->lease_us), 0, CALL_TIMEOUT_US,
-                grant_reply, sent_now (core), g_free);
+  core->leader.lease_id = 0;
+  mh_core_call (core, MH_RANK_LEASE, mh_wire_lease_grant (core->settings->lease_us), 0,
+                CALL_TIMEOUT_US, lease_reply, sent_now (core), g_free);
 }
 
 /* ---- leading ---- */
@@ -400,12 +400,12 @@
   if (core->leader.hands_over)
     {
       /* The lease is ended, so that the others need not wait for its end. */
-      mh_core_call (core, MH_RANK_LEASE, mh_wire_revoke (core->leader.claim), 0, CALL_TIMEOUT_US,
-                    ignore_reply, NULL, NULL);
+      mh_core_call (core, MH_RANK_LEASE, mh_wire_lease_revoke (core->leader.lease_id), 0,
+                    CALL_TIMEOUT_US, ignore_reply, NULL, NULL);
       core->leader.shy_until_us = core->now.mono_us + SHY_US;
     }
   core->leader.hands_over = false;
-  core->leader.claim = 0;
+  core->leader.lease_id = 0;
   if (self (core))
     g_clear_pointer (&core->leader.node, g_free);
   retry (core, 50000);
@@ -493,7 +493,7 @@
   if (!core->leader.renewing && now >= core->leader.renew_us)
     {
       core->leader.renewing = true;
-      mh_core_call (core, MH_RANK_LEASE, mh_wire_extend (core->leader.claim), 0,
+      mh_core_call (core, MH_RANK_LEASE, mh_wire_lease_renew (core->leader.lease_id), 0,
                     MIN (CALL_TIMEOUT_US, core->settings->lease_us / 3), renew_reply,
                     sent_now (core), g_free);
     }
--- a/src/record.c
+++ b/src/record.c
@@ -78,10 +78,10 @@
 }
 
 MhValue *
-mh_record_write_leader (const char *node, guint64 epoch, guint64 claim)
+mh_record_write_leader (const char *node, guint64 epoch, guint64 lease_id)
 {
   MhValue *m = mh_value_map ();
-  mh_value_set_uint (m, "claim", claim);
+  mh_value_set_uint (m, "claim", lease_id);
   mh_value_set_text (m, "node", node);
   mh_value_set_uint (m, "epoch", epoch);
   return m;
@@ -117,10 +117,10 @@
 }
 
 bool
-mh_record_read_leader (const MhValue *v, char **node, guint64 *epoch, guint64 *claim)
+mh_record_read_leader (const MhValue *v, char **node, guint64 *epoch, guint64 *lease_id)
 {
-  if (!mh_value_get_uint (v, "claim", claim))
-    *claim = 0;
+  if (!mh_value_get_uint (v, "claim", lease_id))
+    *lease_id = 0;
   if (!mh_record_read_epoch (v, epoch))
     return false;
   *node = mh_value_get_text (v, "node");
--- a/src/release.c
+++ b/src/release.c
@@ -145,7 +145,7 @@
 static void
 write_down (MhCore *core, Parcel *p)
 {
-  MhCondition conditions[] = { { "leader", core->leader.own_stamp }, { p->key, 0 } };
+  MhCondition conditions[] = { { "leader", core->leader.own_version }, { p->key, 0 } };
   g_autoptr (MhValue) value = mh_record_write_release (p->names);
   g_autoptr (GArray) changes = g_array_new (FALSE, FALSE, sizeof (MhChange));
   MhChange put = { .key = p->key, .value = value };
--- a/src/store.c
+++ b/src/store.c
@@ -231,12 +231,12 @@
 }
 
 static void
-write_done (MhCore *core, const Write *w, guint64 stamp)
+write_done (MhCore *core, const Write *w, guint64 version)
 {
   MhRecord *r = w->record;
   MhJob *job = r->job;
   r->writing = false;
-  r->stamp = stamp;
+  r->version = version;
   r->laid = w->rev;
   if (job->old_records && r->chunk && !w->final)
     return; /* counts once the first record says so */
@@ -264,7 +264,7 @@
           job->final = true;
           job->final_state = w->cancelled ? MH_JOB_CANCELLED : MH_JOB_DONE;
           for (guint i = drops_with_final (core, job) + 1; i < job->n_records; i++)
-            if (job->records[i].stamp)
+            if (job->records[i].version)
               g_queue_push_tail (&core->garbage, mh_record_key (job->spec->id, i));
         }
       answer_waiters (core, job);
@@ -284,11 +284,11 @@
 }
 
 static void
-txn_applied (MhCore *core, Txn *t, guint64 stamp)
+txn_applied (MhCore *core, Txn *t, guint64 version)
 {
   core->txns--;
   for (guint i = 0; i < t->writes->len; i++)
-    write_done (core, &g_array_index (t->writes, Write, i), stamp);
+    write_done (core, &g_array_index (t->writes, Write, i), version);
 }
 
 static void
@@ -385,11 +385,11 @@
     {
       MhEntry *e = mh_wire_read_entry (body);
       g_autofree char *tag = e ? mh_record_read_tag (e->value) : NULL;
-      guint64 stamp = e ? e->stamp : 0;
+      guint64 version = e ? e->version : 0;
       mh_entry_free (e);
       if (tag && strcmp (tag, t->tag) == 0)
         {
-          txn_applied (core, t, stamp);
+          txn_applied (core, t, version);
           return;
         }
     }
@@ -420,9 +420,9 @@
 txn_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
   Txn *t = data;
-  guint64 stamp;
-  if (status == 200 && mh_wire_read_ledger (body, &stamp))
-    txn_applied (core, t, stamp);
+  guint64 version;
+  if (status == 200 && mh_wire_read_revision (body, &version))
+    txn_applied (core, t, version);
   else if (status == 409)
     {
       g_auto (GStrv) failed = mh_wire_read_failed (body);
@@ -484,9 +484,9 @@
 }
 
 static void
-add_condition (Batch *b, const char *key, guint64 stamp)
+add_condition (Batch *b, const char *key, guint64 version)
 {
-  MhCondition c = { .key = key, .stamp = stamp };
+  MhCondition c = { .key = key, .version = version };
   g_array_append_val (b->conditions, c);
 }
 
@@ -505,7 +505,7 @@
   g_ptr_array_add (b->values, v);
   b->bytes += mh_value_json_size (v) + 300;
   const char *key = keep_key (b, mh_record_key (r->job->spec->id, r->chunk));
-  add_condition (b, key, r->stamp);
+  add_condition (b, key, r->version);
   add_change (b, key, v);
   Write w = { .record = r, .rev = r->rev };
   g_array_append_val (b->txn->writes, w);
@@ -536,16 +536,16 @@
   const char *key = keep_key (b, mh_record_key (job->spec->id, r->chunk));
   const char *final = keep_key (b, g_strconcat ("f/", job->spec->id, NULL));
   const char *put = job->finished ? final : key;
-  add_condition (b, key, r->stamp);
+  add_condition (b, key, r->version);
   add_change (b, put, v);
   if (b->txn->first_key == NULL)
     b->txn->first_key = g_strdup (put);
-  if (job->finished || (r->chunk == 0 && r->stamp == 0))
+  if (job->finished || (r->chunk == 0 && r->version == 0))
     add_condition (b, final, 0);
-  if (job->finished && r->stamp)
+  if (job->finished && r->version)
     add_change (b, key, NULL);
   for (guint i = 1; i <= drops; i++)
-    if (job->records[i].stamp)
+    if (job->records[i].version)
       add_change (b, keep_key (b, mh_record_key (job->spec->id, i)), NULL);
   Write w = { .record = r, .rev = r->rev, .final = job->finished, .cancelled = job->cancelled };
   g_array_append_val (b->txn->writes, w);
@@ -575,7 +575,7 @@
               .keys = keys,
               .values = values,
               .most = most };
-  add_condition (&b, "leader", core->leader.own_stamp);
+  add_condition (&b, "leader", core->leader.own_version);
   bool full = false;
   for (guint urgency = 0; urgency < MH_URGENCIES && !full; urgency++)
     {
@@ -744,7 +744,7 @@
         }
       chunk = (guint)n;
     }
-  job->records[chunk].stamp = e->stamp;
+  job->records[chunk].version = e->version;
   gpointer pair[] = { core, job };
   if (!mh_record_read_tasks (e->value, load_task, pair))
     not_understood (core, e->key, job->spec->id);
@@ -758,9 +758,9 @@
 {
   Page *page = data;
   bool more;
-  guint64 ledger;
+  guint64 revision;
   g_autoptr (GPtrArray) entries
-      = status == 200 ? mh_wire_read_entries (body, &more, &ledger) : NULL;
+      = status == 200 ? mh_wire_read_entries (body, &more, &revision) : NULL;
   if (entries == NULL)
     {
       core->state_pause_us = core->now.mono_us + 50000 + (gint64)(core->now.jitter * 50000);
--- a/src/wire.c
+++ b/src/wire.c
@@ -836,7 +836,7 @@
   MhEntry *e = g_new0 (MhEntry, 1);
   MhValue *value = mh_value_get (b, "v");
   e->key = mh_value_get_text (b, "key");
-  if (e->key == NULL || value == NULL || !mh_value_get_uint (b, "stamp", &e->stamp))
+  if (e->key == NULL || value == NULL || !mh_value_get_uint (b, "stamp", &e->version))
     {
       mh_entry_free (e);
       return NULL;
@@ -846,15 +846,15 @@
 }
 
 GPtrArray *
-mh_wire_read_entries (const MhValue *b, bool *more, guint64 *ledger)
+mh_wire_read_entries (const MhValue *b, bool *more, guint64 *revision)
 {
   MhValue *list = mh_value_get (b, "entries");
   *more = false;
-  *ledger = 0;
+  *revision = 0;
   if (list == NULL || !cbor_isa_array (list))
     return NULL;
   mh_value_get_bool (b, "has_next", more);
-  mh_value_get_uint (b, "ledger", ledger);
+  mh_value_get_uint (b, "ledger", revision);
   g_autoptr (GPtrArray) entries = entries_new ();
   for (gsize i = 0; i < mh_value_size (list); i++)
     {
@@ -867,10 +867,10 @@
 }
 
 GPtrArray *
-mh_wire_read_events (const MhValue *b, guint64 *ledger)
+mh_wire_read_events (const MhValue *b, guint64 *revision)
 {
   MhValue *list = mh_value_get (b, "news");
-  if (list == NULL || !cbor_isa_array (list) || !mh_value_get_uint (b, "ledger", ledger))
+  if (list == NULL || !cbor_isa_array (list) || !mh_value_get_uint (b, "ledger", revision))
     return NULL;
   g_autoptr (GPtrArray) entries = entries_new ();
   for (gsize i = 0; i < mh_value_size (list); i++)
@@ -884,16 +884,16 @@
         e->value = cbor_incref (value);
       else if (e->key == NULL)
         e->key = mh_value_get_text (n, "drop");
-      if (e->key == NULL || !mh_value_get_uint (n, "stamp", &e->stamp))
+      if (e->key == NULL || !mh_value_get_uint (n, "stamp", &e->version))
         return NULL;
     }
   return g_steal_pointer (&entries);
 }
 
 bool
-mh_wire_read_ledger (const MhValue *b, guint64 *ledger)
+mh_wire_read_revision (const MhValue *b, guint64 *revision)
 {
-  return mh_value_get_uint (b, "ledger", ledger);
+  return mh_value_get_uint (b, "ledger", revision);
 }
 
 char **
@@ -904,9 +904,9 @@
 }
 
 bool
-mh_wire_read_claim (const MhValue *b, guint64 *claim)
+mh_wire_read_lease (const MhValue *b, guint64 *lease_id)
 {
-  return mh_value_get_uint (b, "claim", claim);
+  return mh_value_get_uint (b, "claim", lease_id);
 }
 
 static MhValue *
@@ -927,7 +927,7 @@
     {
       MhValue *c = mh_value_map ();
       mh_value_set_text (c, "key", conditions[i].key);
-      mh_value_set_uint (c, "stamp", conditions[i].stamp);
+      mh_value_set_uint (c, "stamp", conditions[i].version);
       mh_value_push (list, c);
     }
   mh_value_set (m, "if", list);
@@ -939,8 +939,8 @@
         {
           mh_value_set_text (c, "put", changes[i].key);
           mh_value_set (c, "v", cbor_incref (changes[i].value));
-          if (changes[i].claim)
-            mh_value_set_uint (c, "claim", changes[i].claim);
+          if (changes[i].lease_id)
+            mh_value_set_uint (c, "claim", changes[i].lease_id);
         }
       else
         mh_value_set_text (c, "drop", changes[i].key);
@@ -1010,23 +1010,23 @@
 }
 
 MhRequest *
-mh_wire_grant (gint64 life_us)
+mh_wire_lease_grant (gint64 life_us)
 {
   return request (MH_TARGET_STATE, "POST", g_strdup ("/grants"), write_grant (life_us));
 }
 
 MhRequest *
-mh_wire_extend (guint64 claim)
+mh_wire_lease_renew (guint64 lease_id)
 {
   return request (MH_TARGET_STATE, "POST",
-                  g_strdup_printf ("/grants/%" G_GUINT64_FORMAT "/extend", claim), NULL);
+                  g_strdup_printf ("/grants/%" G_GUINT64_FORMAT "/extend", lease_id), NULL);
 }
 
 MhRequest *
-mh_wire_revoke (guint64 claim)
+mh_wire_lease_revoke (guint64 lease_id)
 {
-  return request (MH_TARGET_STATE, "DELETE", g_strdup_printf ("/grants/%" G_GUINT64_FORMAT, claim),
-                  NULL);
+  return request (MH_TARGET_STATE, "DELETE",
+                  g_strdup_printf ("/grants/%" G_GUINT64_FORMAT, lease_id), NULL);
 }
 
 MhRequest *
--- a/src/wire.h
+++ b/src/wire.h
@@ -96,7 +96,7 @@
 {
   char *key;
   MhValue *value; /* NULL: dropped */
-  guint64 stamp;
+  guint64 version;
 } MhEntry;
 
 void
@@ -104,27 +104,27 @@
 typedef struct
 {
   const char *key;
-  guint64 stamp;
+  guint64 version;
 } MhCondition;
 typedef struct
 {
   const char *key;
-  MhValue *value; /* NULL: drop */
-  guint64 claim;  /* 0: none */
+  MhValue *value;   /* NULL: drop */
+  guint64 lease_id; /* 0: none */
 } MhChange;
 
 MhEntry *
 mh_wire_read_entry (const MhValue *body);
 GPtrArray *
-mh_wire_read_entries (const MhValue *body, bool *more, guint64 *ledger);
+mh_wire_read_entries (const MhValue *body, bool *more, guint64 *revision);
 GPtrArray *
-mh_wire_read_events (const MhValue *body, guint64 *ledger);
+mh_wire_read_events (const MhValue *body, guint64 *revision);
 bool
-mh_wire_read_ledger (const MhValue *body, guint64 *ledger);
+mh_wire_read_revision (const MhValue *body, guint64 *revision);
 char **
 mh_wire_read_failed (const MhValue *body);
 bool
-mh_wire_read_claim (const MhValue *body, guint64 *claim);
+mh_wire_read_lease (const MhValue *body, guint64 *lease_id);
 
 /* ---- requests: who is asked, and for what ---- */
 
@@ -157,11 +157,11 @@
 mh_wire_txn (const MhCondition *conditions, guint n_conditions, const MhChange *changes,
              guint n_changes);
 MhRequest *
-mh_wire_grant (gint64 life_us);
+mh_wire_lease_grant (gint64 life_us);
 MhRequest *
-mh_wire_extend (guint64 claim);
+mh_wire_lease_renew (guint64 lease_id);
 MhRequest *
-mh_wire_revoke (guint64 claim);
+mh_wire_lease_revoke (guint64 lease_id);
 MhRequest *
 mh_wire_watch (const char *prefix, guint64 since, gint64 hold_us);
 MhRequest *
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1160,9 +1160,9 @@
       const SimUser *u = g_ptr_array_index (sim->users, i);
       bool settled = u->impossible || u->told_done
                      || (u->told_cancelled && !world_running (sim->world, u->job->spec->id));
-      bool lives = u->job->run_us == 0 && !u->cancels
-                   && world_running (sim->world, u->job->spec->id) == u->job->spec->tasks;
-      if (!settled && !lives)
+      bool lease_lengths = u->job->run_us == 0 && !u->cancels
+                           && world_running (sim->world, u->job->spec->id) == u->job->spec->tasks;
+      if (!settled && !lease_lengths)
         return false;
     }
   return true;
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -759,7 +759,7 @@
   WorldMachine *m = g_ptr_array_index (sim->world->machines, 0);
   g_autoptr (MhValue) copy = world_report (sim->world, m);
   WAIT (sim, 200, is_gone, m);
-  guint lives = sim->world->machines->len;
+  guint lease_lengths = sim->world->machines->len;
   sim_stop_node (sim, sim_leader (sim)->index);
   WAIT (sim, 10, has_leader, NULL);
   sim_run (sim, 1);
@@ -767,7 +767,7 @@
   sim_late_report (sim, sim_leader (sim), copy);
   SimUser *next = sim_submit (sim, sim_spec (3, MH_SHAPE_ARRAY, 1, 1), 1);
   WAIT (sim, 25, told_done, next);
-  g_assert_cmpuint (sim->world->machines->len, >, lives);
+  g_assert_cmpuint (sim->world->machines->len, >, lease_lengths);
   g_autofree char *line = g_strdup_printf ("machine %s: reports", m->name);
   guint reported = 0;
   for (guint i = 0; i < sim->log->len; i++)
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -68,13 +68,13 @@
   g_assert_cmpuint (counts[2], ==, 3);
 
   MhUserAnswer a;
-  guint64 epoch, claim;
+  guint64 epoch, lease_id;
   g_autofree char *node = NULL;
   g_autoptr (MhValue) final = LOAD (production_final), leader = LOAD (production_leader);
   g_autoptr (MhValue) last = LOAD (production_epoch), release = LOAD (production_release);
   g_assert_true (mh_record_read_final (final, &a));
   g_assert_cmpint (a.state, ==, MH_JOB_CANCELLED);
-  g_assert_true (mh_record_read_leader (leader, &node, &epoch, &claim));
+  g_assert_true (mh_record_read_leader (leader, &node, &epoch, &lease_id));
   g_assert_cmpstr (node, ==, "worker-1");
   g_assert_true (mh_record_read_epoch (last, &epoch));
   g_assert_cmpuint (epoch, ==, 2000000);
--- a/tests/test-wire.c
+++ b/tests/test-wire.c
@@ -180,7 +180,7 @@
       g_clear_pointer (&(GPtrArray *){ mh_wire_read_entries (v, &more, &number) },
                        g_ptr_array_unref);
       g_clear_pointer (&(GPtrArray *){ mh_wire_read_events (v, &number) }, g_ptr_array_unref);
-      mh_wire_read_claim (v, &number);
+      mh_wire_read_lease (v, &number);
       mh_record_read_final (v, &a);
       mh_value_json_size (v);
     }
--- a/tests/world.c
+++ b/tests/world.c
@@ -6,14 +6,14 @@
 typedef struct
 {
   MhValue *value;
-  guint64 stamp, claim;
+  guint64 version, lease_id;
 } Key;
 
 typedef struct
 {
   char *key;
   MhValue *value;
-  guint64 stamp;
+  guint64 version;
 } Change;
 
 typedef struct
@@ -87,8 +87,8 @@
   w->boot_us = 4 * MH_SECOND_US;
   w->list_lag_us = settings->list_lag_us;
   w->keys = g_tree_new_full (by_text, NULL, g_free, key_free);
-  w->grants = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  w->lives = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  w->leases = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  w->lease_lengths = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   w->history = g_array_new (FALSE, FALSE, sizeof (Change));
   g_array_set_clear_func (w->history, change_clear);
   w->watches = g_array_new (FALSE, FALSE, sizeof (Watch));
@@ -106,8 +106,8 @@
 world_free (World *w)
 {
   g_tree_unref (w->keys);
-  g_hash_table_unref (w->grants);
-  g_hash_table_unref (w->lives);
+  g_hash_table_unref (w->leases);
+  g_hash_table_unref (w->lease_lengths);
   g_array_unref (w->history);
   g_array_unref (w->watches);
   g_ptr_array_unref (w->machines);
@@ -129,16 +129,17 @@
 /* ---- state service ---- */
 
 static void
-change (World *w, const char *key, MhValue *value, guint64 claim)
+change (World *w, const char *key, MhValue *value, guint64 lease_id)
 {
-  Change c
-      = { .key = g_strdup (key), .value = value ? cbor_incref (value) : NULL, .stamp = w->ledger };
+  Change c = { .key = g_strdup (key),
+               .value = value ? cbor_incref (value) : NULL,
+               .version = w->revision };
   if (value)
     {
       Key *k = g_new0 (Key, 1);
       k->value = cbor_incref (value);
-      k->stamp = w->ledger;
-      k->claim = claim;
+      k->version = w->revision;
+      k->lease_id = lease_id;
       g_tree_replace (w->keys, g_strdup (key), k);
     }
   else
@@ -151,13 +152,13 @@
 {
   g_autoptr (MhValue) value = mh_value_map ();
   mh_value_set_text (value, "s", "?");
-  w->ledger++;
+  w->revision++;
   change (w, key, value, 0);
 }
 
 typedef struct
 {
-  guint64 claim;
+  guint64 lease_id;
   GPtrArray *keys;
 } Attached;
 
@@ -165,22 +166,22 @@
 collect_attached (gpointer key, gpointer value, gpointer data)
 {
   Attached *a = data;
-  if (((Key *)value)->claim == a->claim)
+  if (((Key *)value)->lease_id == a->lease_id)
     g_ptr_array_add (a->keys, g_strdup (key));
   return FALSE;
 }
 
 static void
-end_grant (World *w, guint64 claim)
+end_lease (World *w, guint64 lease_id)
 {
-  Attached a = { .claim = claim, .keys = g_ptr_array_new_with_free_func (g_free) };
+  Attached a = { .lease_id = lease_id, .keys = g_ptr_array_new_with_free_func (g_free) };
   g_tree_foreach (w->keys, collect_attached, &a);
   if (a.keys->len)
-    w->ledger++;
+    w->revision++;
   for (guint i = 0; i < a.keys->len; i++)
     change (w, g_ptr_array_index (a.keys, i), NULL, 0);
   g_ptr_array_unref (a.keys);
-  g_hash_table_remove (w->grants, &claim);
+  g_hash_table_remove (w->leases, &lease_id);
 }
 
 static MhValue *
@@ -189,15 +190,15 @@
   MhValue *m = mh_value_map ();
   mh_value_set_text (m, "key", name);
   mh_value_set (m, "v", cbor_incref (k->value));
-  mh_value_set_uint (m, "stamp", k->stamp);
+  mh_value_set_uint (m, "stamp", k->version);
   return m;
 }
 
 static MhValue *
-ledger_body (const World *w)
+revision_body (const World *w)
 {
   MhValue *m = mh_value_map ();
-  mh_value_set_uint (m, "ledger", w->ledger);
+  mh_value_set_uint (m, "ledger", w->revision);
   return m;
 }
 
@@ -246,7 +247,7 @@
                 .limit = limit ? (guint)atoi (limit) : 1000,
                 .list = mh_value_list () };
   g_tree_foreach (w->keys, collect_listing, &l);
-  MhValue *m = ledger_body (w);
+  MhValue *m = revision_body (w);
   mh_value_set (m, "entries", l.list);
   mh_value_set_bool (m, "has_next", l.more);
   return m;
@@ -269,10 +270,10 @@
       const MhValue *c = mh_value_at (conditions, i);
       g_autofree char *name = mh_value_get_text (c, "key");
       fenced |= strcmp (name, "leader") == 0;
-      guint64 stamp = 0;
-      mh_value_get_uint (c, "stamp", &stamp);
+      guint64 version = 0;
+      mh_value_get_uint (c, "stamp", &version);
       const Key *k = g_tree_lookup (w->keys, name);
-      if ((k ? k->stamp : 0) != stamp)
+      if ((k ? k->version : 0) != version)
         mh_value_push (failed, mh_value_text (name));
     }
   /* Not a rule of the protocol but ours: a late transaction of an earlier leader must fail. */
@@ -280,9 +281,10 @@
     broken (w, "a transaction without a condition on the leader's key");
   for (gsize i = 0; i < mh_value_size (changes); i++)
     {
-      guint64 claim;
+      guint64 lease_id;
       const MhValue *c = mh_value_at (changes, i);
-      if ((mh_value_get_uint (c, "claim", &claim) && !g_hash_table_contains (w->grants, &claim))
+      if ((mh_value_get_uint (c, "claim", &lease_id)
+           && !g_hash_table_contains (w->leases, &lease_id))
           || (mh_value_get (c, "v")
               && mh_value_json_size (mh_value_get (c, "v")) > w->settings->value_bytes))
         {
@@ -292,21 +294,21 @@
     }
   if (mh_value_size (failed))
     {
-      *reply = ledger_body (w);
+      *reply = revision_body (w);
       mh_value_set (*reply, "failed", failed);
       return 409;
     }
   mh_value_unref (failed);
-  w->ledger++;
+  w->revision++;
   for (gsize i = 0; i < mh_value_size (changes); i++)
     {
       const MhValue *c = mh_value_at (changes, i);
       g_autofree char *put = mh_value_get_text (c, "put"), *drop = mh_value_get_text (c, "drop");
-      guint64 claim = 0;
-      mh_value_get_uint (c, "claim", &claim);
-      change (w, put ? put : drop, put ? mh_value_get (c, "v") : NULL, claim);
+      guint64 lease_id = 0;
+      mh_value_get_uint (c, "claim", &lease_id);
+      change (w, put ? put : drop, put ? mh_value_get (c, "v") : NULL, lease_id);
     }
-  *reply = ledger_body (w);
+  *reply = revision_body (w);
   return 200;
 }
 
@@ -317,20 +319,20 @@
   for (guint i = 0; i < w->history->len; i++)
     {
       const Change *c = &g_array_index (w->history, Change, i);
-      if (c->stamp <= watch->since || !g_str_has_prefix (c->key, watch->prefix))
+      if (c->version <= watch->since || !g_str_has_prefix (c->key, watch->prefix))
         continue;
       MhValue *item = mh_value_map ();
       mh_value_set_text (item, c->value ? "put" : "drop", c->key);
       if (c->value)
         mh_value_set (item, "v", cbor_incref (c->value));
-      mh_value_set_uint (item, "stamp", c->stamp);
+      mh_value_set_uint (item, "stamp", c->version);
       if (list == NULL)
         list = mh_value_list ();
       mh_value_push (list, item);
     }
   if (list == NULL && w->now_us < watch->until_us)
     return NULL;
-  MhValue *m = ledger_body (w);
+  MhValue *m = revision_body (w);
   mh_value_set (m, "news", list ? list : mh_value_list ());
   return m;
 }
@@ -346,7 +348,7 @@
     {
       const Key *k = g_tree_lookup (w->keys, path + 4);
       *status = k ? 200 : 404;
-      *reply = k ? key_body (path + 4, k) : ledger_body (w);
+      *reply = k ? key_body (path + 4, k) : revision_body (w);
     }
   else if (g_str_has_prefix (path, "/kv?"))
     *reply = list_keys (w, path);
@@ -354,24 +356,25 @@
     *status = transact (w, body, reply);
   else if (strcmp (path, "/grants") == 0)
     {
-      guint64 life = 0, id = ++w->next_grant;
+      guint64 life = 0, id = ++w->next_lease;
       mh_value_get_uint (body, "life_ms", &life);
       gint64 us = (gint64)life * 1000, end = w->now_us + us;
-      g_hash_table_insert (w->lives, g_memdup2 (&id, sizeof id), g_memdup2 (&us, sizeof us));
-      g_hash_table_insert (w->grants, g_memdup2 (&id, sizeof id), g_memdup2 (&end, sizeof end));
+      g_hash_table_insert (w->lease_lengths, g_memdup2 (&id, sizeof id),
+                           g_memdup2 (&us, sizeof us));
+      g_hash_table_insert (w->leases, g_memdup2 (&id, sizeof id), g_memdup2 (&end, sizeof end));
       *reply = mh_value_map ();
       mh_value_set_uint (*reply, "claim", id);
     }
   else if (g_str_has_prefix (path, "/grants/"))
     {
       guint64 id = g_ascii_strtoull (path + 8, NULL, 10);
-      gint64 *end = g_hash_table_lookup (w->grants, &id);
+      gint64 *end = g_hash_table_lookup (w->leases, &id);
       if (end == NULL)
         *status = 404;
       else if (strcmp (method, "DELETE") == 0)
-        end_grant (w, id);
+        end_lease (w, id);
       else
-        *end = w->now_us + *(gint64 *)g_hash_table_lookup (w->lives, &id);
+        *end = w->now_us + *(gint64 *)g_hash_table_lookup (w->lease_lengths, &id);
     }
   else if (g_str_has_prefix (path, "/watch?"))
     {
@@ -1042,19 +1045,19 @@
   if (was_out && !out)
     {
       /* After an outage every lease has its full time again. */
-      g_hash_table_iter_init (&it, w->grants);
+      g_hash_table_iter_init (&it, w->leases);
       while (g_hash_table_iter_next (&it, &id, &end))
-        *(gint64 *)end = now_us + *(gint64 *)g_hash_table_lookup (w->lives, id);
+        *(gint64 *)end = now_us + *(gint64 *)g_hash_table_lookup (w->lease_lengths, id);
     }
   if (!out)
     {
       g_autoptr (GArray) ended = g_array_new (FALSE, FALSE, sizeof (guint64));
-      g_hash_table_iter_init (&it, w->grants);
+      g_hash_table_iter_init (&it, w->leases);
       while (g_hash_table_iter_next (&it, &id, &end))
         if (*(gint64 *)end <= now_us)
           g_array_append_val (ended, *(guint64 *)id);
       for (guint i = 0; i < ended->len; i++)
-        end_grant (w, g_array_index (ended, guint64, i));
+        end_lease (w, g_array_index (ended, guint64, i));
       for (guint i = 0; i < w->watches->len;)
         {
           const Watch *watch = &g_array_index (w->watches, Watch, i);
--- a/tests/world.h
+++ b/tests/world.h
@@ -60,9 +60,9 @@
   gint64 boot_us, list_lag_us;
   /* state service */
   GTree *keys;
-  guint64 ledger, next_grant;
-  GHashTable *grants; /* id -> gint64 end */
-  GHashTable *lives;  /* id -> gint64 life */
+  guint64 revision, next_lease;
+  GHashTable *leases;        /* id -> gint64 end */
+  GHashTable *lease_lengths; /* id -> gint64 life */
   GArray *history;
   GArray *watches;
   gint64 outage_until_us;
