--- a/src/command.c
+++ b/src/command.c
@@ -100,8 +100,9 @@
 may_start (const MhAttempt *a)
 {
   const MhRecord *r = mh_job_record (a->job, a->index);
-  return !a->seen && !a->kill && !a->loaded && r->durable >= a->need_rev && !mh_job_over (a->job)
-         && !a->machine->releasing && (!mh_gang_is (a->job) || mh_gang_on_record (a));
+  return !a->seen && !a->stopping && !a->loaded && r->durable >= a->need_rev
+         && !mh_job_over (a->job) && !a->machine->releasing
+         && (!mh_gang_is (a->job) || mh_gang_on_record (a));
 }
 
 /* Starts and stops for a machine. Directly, only what has not been said before. */
@@ -113,16 +114,16 @@
     {
       MhAttempt *a = mh_machine_attempt (m, i);
       const char *job = a->job->spec->id;
-      if (a->kill && !(direct && a->killed_us))
+      if (a->stopping && !(direct && a->stop_sent_us))
         {
           /* One that saves longer than it was given is ended by a second command. */
-          bool late = a->killed_us && now > a->killed_us + a->grace_us + MH_SECOND_US;
+          bool late = a->stop_sent_us && now > a->stop_sent_us + a->grace_us + MH_SECOND_US;
           add_command (commands, MH_COMMAND_STOP, job, a->index, a->attempt,
                        late ? 0 : a->grace_us);
-          if (a->killed_us == 0)
-            a->killed_us = now;
+          if (a->stop_sent_us == 0)
+            a->stop_sent_us = now;
         }
-      else if (!a->kill && may_start (a) && !(direct && a->start_sent))
+      else if (!a->stopping && may_start (a) && !(direct && a->start_sent))
         {
           add_command (commands, MH_COMMAND_START, job, a->index, a->attempt, 0);
           a->start_sent = true;
@@ -237,7 +238,7 @@
       if (o->kind == MH_COMMAND_STOP)
         {
           if (a && status != 200)
-            a->killed_us = 0;
+            a->stop_sent_us = 0;
           continue;
         }
       bool refused = status == 409 || status == 400;
@@ -271,9 +272,9 @@
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
       bool waited_for = a->job->spec->shape != MH_SHAPE_ARRAY;
-      if (a->kill ? a->killed_us != 0 : a->start_sent || !may_start (a))
+      if (a->stopping ? a->stop_sent_us != 0 : a->start_sent || !may_start (a))
         continue;
-      if (a->kill ? !mh_job_over (a->job) : waited_for)
+      if (a->stopping ? !mh_job_over (a->job) : waited_for)
         return URGENT_COMMANDS;
       found = PATIENT_COMMANDS;
     }
@@ -293,7 +294,7 @@
 mh_command_reaches (const MhCore *core, const MhMachine *m)
 {
   return core->settings->direct && !m->direct && m->reported && !m->releasing && m->endpoint
-         && !m->ignored && !mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
+         && !m->ignored_answers && !mh_fleet_silent (core, m, core->settings->report_us * 3 / 2)
          && !anything_lost (m);
 }
 
--- a/src/core-private.h
+++ b/src/core-private.h
@@ -61,12 +61,12 @@
 {
   MhJob *job;
   guint chunk;
-  guint64 version; /* 0: does not exist yet */
-  guint64 rev;     /* of memory */
-  guint64 durable; /* of the state service */
-  guint64 laid;    /* ... while the job is being laid out anew, and counts only after that */
-  guint urgency;   /* in which queue, while queued */
-  guint again;     /* ... once it is written */
+  guint64 version;       /* 0: does not exist yet */
+  guint64 rev;           /* of memory */
+  guint64 durable;       /* of the state service */
+  guint64 rechunked_rev; /* ... while the job is being re-chunked, and counts only after that */
+  guint urgency;         /* in which queue, while queued */
+  guint again;           /* ... once it is written */
   bool queued, writing;
 };
 
@@ -107,9 +107,9 @@
   gint64 gathering_us;   /* a task waits for the others since; 0: none was seen to */
   guint held;            /* tasks for which room is held, in this pass, */
   const char *held_zone; /* in the only zone that it may come to; interned, NULL: any */
-  /* laid out anew in smaller records: see store.c */
-  guint old_records; /* that are being replaced; 0: none are */
-  bool starved;      /* nothing of it has begun for long */
+  /* re-chunked in smaller records: see store.c */
+  guint unchunked_records; /* that are being replaced; 0: none are */
+  bool starved;            /* nothing of it has begun for long */
 };
 
 /* `chunk` 0: as large as values of `value_bytes` take. */
@@ -184,9 +184,9 @@
   bool first;             /* of a job that was starved */
   bool seen;              /* reported on the machine */
   bool present;           /* in the report at hand */
-  bool kill;              /* is to be stopped */
+  bool stopping;          /* is to be stopped */
   gint64 grace_us;
-  gint64 killed_us; /* when last told directly */
+  gint64 stop_sent_us; /* when last told directly */
   MhTaskPhase phase;
   gint64 placed_us, running_us;
 };
@@ -224,22 +224,22 @@
   const MhMachineType *type;
   guint type_index, zone_index; /* zone: in this pass */
   bool spot;
-  bool reported;  /* to this leader, for certain: with its token, or asked by it */
-  bool draining;  /* takes nothing new; what it holds is moved */
-  bool releasing; /* decided; holds until it is confirmed */
-  bool probing;   /* being asked whether it is alive */
-  guint deaf;     /* probes in a row without an answer */
-  guint ignored;  /* answers in a row that its next report shows nothing of */
+  bool reported;         /* to this leader, for certain: with its token, or asked by it */
+  bool draining;         /* takes nothing new; what it holds is moved */
+  bool releasing;        /* decided; holds until it is confirmed */
+  bool probing;          /* being asked whether it is alive */
+  guint failed_probes;   /* probes in a row without an answer */
+  guint ignored_answers; /* answers in a row that its next report shows nothing of */
   guint64 answered_token,
       answered_sequence; /* the last answer to a report: its token, that report's sequence number */
   bool told;             /* ... must show in the next one */
-  bool due;              /* is to be looked at for commands */
+  bool commands_due;     /* is to be looked at for commands */
   gint64 last_report_us; /* of the last report that it sent by itself, or the first word */
   bool running;          /* listed as such */
   gint64 known_us, rented_us, heard_us, idle_us;
   gint64 probed_us; /* for its report, for the first time since it was silent */
   guint64 probed_session, probed_sequence; /* of the newest that was known when it was last asked */
-  gint64 hinted_us;                        /* a report of unknown age came */
+  gint64 unverified_us;                    /* a report of unknown age came */
   gint64 notice_until_us;                  /* -1: no notice */
   guint64 session, sequence, token;
   guint fence;            /* how often its token was raised in this leadership */
@@ -299,7 +299,7 @@
 void
 mh_fleet_loaded (MhCore *core);
 void
-mh_fleet_kill_job (MhCore *core, MhJob *job);
+mh_fleet_stop_job (MhCore *core, MhJob *job);
 void
 mh_fleet_report (MhCore *core, guint64 id, const MhReport *report);
 void
@@ -313,7 +313,7 @@
 mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, guint32 attempt, MhMachine *machine);
 /* A gang is stopped whole. */
 void
-mh_fleet_kill (MhCore *core, MhAttempt *attempt, gint64 grace_us);
+mh_fleet_stop (MhCore *core, MhAttempt *attempt, gint64 grace_us);
 /* Known to be done though no attempt of ours showed it. */
 void
 mh_fleet_task_done (MhCore *core, MhJob *job, guint index);
@@ -327,7 +327,7 @@
 mh_fleet_cache (MhMachine *machine, GRefString *image, double gb);
 /* Its commands are looked at in this step, not with the next sweep. */
 void
-mh_fleet_due (MhCore *core, MhMachine *machine);
+mh_fleet_send_commands (MhCore *core, MhMachine *machine);
 void
 mh_fleet_free_machine (gpointer machine);
 
@@ -364,7 +364,7 @@
 /* ---- silence ---- */
 
 /* Reports in a row that show nothing of the answer before them. */
-#define MH_IGNORED_ANSWERS 2u
+#define MH_MAX_IGNORED_ANSWERS 2u
 
 /* What is heard from a zone as a whole. */
 typedef struct
@@ -372,7 +372,7 @@
   GRefString *name;
   guint machines;                  /* that have reported */
   gint64 heard_us, last_report_us; /* the last word, the last report */
-  gint64 dark_until_us;
+  gint64 partitioned_until_us;
 } MhZone;
 
 /* How long a machine may be silent before it is given back. */
@@ -387,29 +387,29 @@
 } MhPatience;
 
 void
-mh_silence_start (MhCore *core);
+mh_failure_init (MhCore *core);
 void
-mh_silence_clear (MhCore *core);
+mh_failure_clear (MhCore *core);
 void
-mh_silence_heard (MhCore *core, GRefString *zone, bool is_report);
+mh_failure_heard (MhCore *core, GRefString *zone, bool is_report);
 /* Nothing has come from the zone for so long that its machines will rather be cut off together than
    have failed one by one. */
 bool
-mh_silence_dark (const MhCore *core, const GRefString *zone);
+mh_failure_zone_partitioned (const MhCore *core, const GRefString *zone);
 /* Reports of its own should have come long ago, whatever it answers. */
 bool
-mh_silence_overdue (const MhCore *core, const MhMachine *machine);
+mh_failure_reports_overdue (const MhCore *core, const MhMachine *machine);
 /* It has been asked more than once, and has not answered. */
 bool
-mh_silence_unreachable (const MhMachine *machine);
+mh_failure_unreachable (const MhMachine *machine);
 /* At all machines and zones; then each can be checked. */
 void
-mh_silence_look (MhCore *core);
+mh_failure_survey (MhCore *core);
 void
-mh_silence_check (MhCore *core, MhMachine *machine);
+mh_failure_check (MhCore *core, MhMachine *machine);
 /* A leader that hears no worker lets another one lead. */
 void
-mh_silence_hand_over (MhCore *core);
+mh_failure_hand_over (MhCore *core);
 
 /* ---- spread: the arithmetic of KEP-895 and nothing else ---- */
 
@@ -665,11 +665,11 @@
   GQueue garbage;             /* keys to drop */
   guint txns;                 /* in flight */
   guint64 rev;
-  GHashTable *machines;  /* name -> MhMachine */
-  GHashTable *returned;  /* names of machines that are gone */
-  GQueue returned_order; /* Returned */
-  GPtrArray *due;        /* MhMachine, not owned */
-  GArray *zones;         /* MhZone */
+  GHashTable *machines;    /* name -> MhMachine */
+  GHashTable *returned;    /* names of machines that are gone */
+  GQueue returned_order;   /* Returned */
+  GPtrArray *commands_due; /* MhMachine, not owned */
+  GArray *zones;           /* MhZone */
   MhPatience patience;
   guint replicas; /* of services, on all machines */
   gint64 swept_us;
--- a/src/core.c
+++ b/src/core.c
@@ -381,7 +381,7 @@
       mh_info (core, "job %s: cancelled by its user", job->spec->id);
       job->cancelled = true;
       mh_store_touch (core, &job->records[0], MH_URGENCY_USER);
-      mh_fleet_kill_job (core, job);
+      mh_fleet_stop_job (core, job);
     }
   MhWaiter w = { .id = id, .verb = MH_USER_CANCEL };
   g_array_append_val (job->waiters, w);
@@ -553,7 +553,7 @@
   core->team_use = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   core->returned = g_hash_table_new (g_str_hash, g_str_equal);
   core->gangs = mh_gang_table ();
-  core->due = g_ptr_array_new ();
+  core->commands_due = g_ptr_array_new ();
   core->zones = g_array_new (FALSE, TRUE, sizeof (MhZone));
   core->class_stats = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->scale.refused = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -563,7 +563,7 @@
   mh_bucket_init (&core->write_bucket, settings->state_write_rps * WRITE_SHARE,
                   settings->state_write_rps * WRITE_BURST_S, t);
   mh_command_init (core);
-  mh_silence_start (core);
+  mh_failure_init (core);
   mh_bucket_init (&core->cloud_bucket, settings->cloud_rps * 0.9, settings->cloud_rps * 1.5, t);
   mh_leader_start (core);
   if (mh_fleet_keep_alive_us (core) <= 0)
@@ -596,7 +596,7 @@
   g_hash_table_unref (core->team_use);
   g_hash_table_unref (core->returned);
   g_hash_table_unref (core->gangs);
-  g_ptr_array_unref (core->due);
+  g_ptr_array_unref (core->commands_due);
   g_array_unref (core->zones);
   g_hash_table_unref (core->class_stats);
   g_hash_table_unref (core->scale.refused);
--- a/src/silence.c
+++ b/src/failure-detection.c
@@ -5,31 +5,31 @@
 #include <string.h>
 
 /* Questions in a row without an answer: one may be a lost packet. */
-#define DEAF_PROBES 2u
+#define MAX_FAILED_PROBES 2u
 #define PROBE_TIMEOUT_US (MH_SECOND_US)
 /* Machines are asked only as fast as the processor's share allows. */
 #define PROBES_PER_CORE_S 400
 /* A zone of so many machines from which nothing has come for so long, for most of a report's
-   interval (all may report at once), or while so many reports should have come, is dark, and stays
-   so for a while when its machines have been given back. */
+   interval (all may report at once), or while so many reports should have come, is partitioned, and
+   stays so for a while when its machines have been given back. */
 #define LEAST_OF_ZONE 3u
-#define DARK_US (2 * MH_SECOND_US)
+#define PARTITION_US (2 * MH_SECOND_US)
 #define REPORTS_MISSED 4
-#define STAYS_DARK_US (30 * MH_SECOND_US)
+#define STAYS_PARTITIONED_US (30 * MH_SECOND_US)
 /* A leader that hears no worker for so long lets another one lead. */
-#define DEAF_LEADER_US (6 * MH_SECOND_US)
+#define UNHEARD_LEADER_US (6 * MH_SECOND_US)
 /* A worker that has just learnt of this leader reports again by itself. */
 #define SECOND_REPORT_US (MH_SECOND_US * 7 / 10)
 
 void
-mh_silence_start (MhCore *core)
+mh_failure_init (MhCore *core)
 {
   double rate = PROBES_PER_CORE_S * core->settings->core_share;
   mh_bucket_init (&core->probe_bucket, rate, rate, core->now.mono_us);
 }
 
 void
-mh_silence_clear (MhCore *core)
+mh_failure_clear (MhCore *core)
 {
   for (guint i = 0; i < core->zones->len; i++)
     g_ref_string_release (g_array_index (core->zones, MhZone, i).name);
@@ -51,14 +51,14 @@
 }
 
 bool
-mh_silence_dark (const MhCore *core, const GRefString *name)
+mh_failure_zone_partitioned (const MhCore *core, const GRefString *name)
 {
   const MhZone *z = find_zone (core, name);
-  return z && core->now.mono_us < z->dark_until_us;
+  return z && core->now.mono_us < z->partitioned_until_us;
 }
 
 void
-mh_silence_heard (MhCore *core, GRefString *name, bool is_report)
+mh_failure_heard (MhCore *core, GRefString *name, bool is_report)
 {
   MhZone *z = find_zone (core, name);
   if (z == NULL)
@@ -67,12 +67,12 @@
       g_array_append_val (core->zones, fresh);
       z = &g_array_index (core->zones, MhZone, core->zones->len - 1);
     }
-  if (core->now.mono_us < z->dark_until_us)
+  if (core->now.mono_us < z->partitioned_until_us)
     mh_info (core, "zone %s: heard from again", z->name);
   z->heard_us = core->now.mono_us;
   if (is_report)
     z->last_report_us = core->now.mono_us;
-  z->dark_until_us = 0;
+  z->partitioned_until_us = 0;
 }
 
 /* Reports come from a zone as often as it has machines. When several should have come and none has,
@@ -87,25 +87,25 @@
       gint64 report = core->settings->report_us;
       gint64 patience = MAX (report * 4 / 5, REPORTS_MISSED * report / MAX (z->machines, 1));
       if (z->machines < LEAST_OF_ZONE
-          || mh_fleet_silence_us (core, z->heard_us) < MAX (DARK_US, patience))
+          || mh_fleet_silence_us (core, z->heard_us) < MAX (PARTITION_US, patience))
         continue;
-      if (now >= z->dark_until_us)
+      if (now >= z->partitioned_until_us)
         mh_info (core, "zone %s: %u machines, and nothing comes from any of them", z->name,
                  z->machines);
-      z->dark_until_us = now + STAYS_DARK_US;
+      z->partitioned_until_us = now + STAYS_PARTITIONED_US;
     }
 }
 
 bool
-mh_silence_overdue (const MhCore *core, const MhMachine *m)
+mh_failure_reports_overdue (const MhCore *core, const MhMachine *m)
 {
   return mh_fleet_silence_us (core, m->last_report_us) > core->settings->report_us * 5 / 2;
 }
 
 bool
-mh_silence_unreachable (const MhMachine *m)
+mh_failure_unreachable (const MhMachine *m)
 {
-  return m->deaf >= DEAF_PROBES;
+  return m->failed_probes >= MAX_FAILED_PROBES;
 }
 
 /* ---- machines ---- */
@@ -124,7 +124,7 @@
   if (r == NULL || strcmp (r->machine, m->name) != 0)
     {
       /* The answer may have come while this process stood still, and the time-out with it. */
-      if (m->probed_us > core->awake_us && ++m->deaf < DEAF_PROBES)
+      if (m->probed_us > core->awake_us && ++m->failed_probes < MAX_FAILED_PROBES)
         probe (core, m);
     }
   else if (mh_fleet_answered (core, m, r))
@@ -156,7 +156,7 @@
 static void
 ask (MhCore *core, MhMachine *m)
 {
-  if (m->probing || m->deaf || m->endpoint == NULL
+  if (m->probing || m->failed_probes || m->endpoint == NULL
       || !mh_bucket_has (&core->probe_bucket, 1, core->now.mono_us))
     return;
   mh_bucket_take (&core->probe_bucket, 1);
@@ -174,7 +174,7 @@
 }
 
 void
-mh_silence_check (MhCore *core, MhMachine *m)
+mh_failure_check (MhCore *core, MhMachine *m)
 {
   const MhPatience *patience = &core->patience;
   gint64 now = core->now.mono_us;
@@ -183,7 +183,7 @@
       gint64 silent = mh_fleet_silence_us (core, m->heard_us);
       /* What runs there goes on until the worker's lease is over; nothing is gained by giving it
          back before. */
-      if (mh_silence_dark (core, m->zone))
+      if (mh_failure_zone_partitioned (core, m->zone))
         {
           if (silent > core->settings->worker_lease_us + MH_SECOND_US)
             mh_release_machine (core, m, "silent with all of its zone");
@@ -195,24 +195,26 @@
           && mh_fleet_silence_us (core, m->last_report_us)
                  > core->settings->worker_lease_us + MH_SECOND_US)
         mh_release_machine (core, m, "its reports do not come");
-      else if (mh_silence_unreachable (m) && m->ignored >= MH_IGNORED_ANSWERS && !patience->cut_off)
+      else if (mh_failure_unreachable (m) && m->ignored_answers >= MH_MAX_IGNORED_ANSWERS
+               && !patience->cut_off)
         mh_release_machine (core, m, "nothing reaches it");
       else if (silent > patience->known_us
-               || (mh_silence_unreachable (m) && !patience->cut_off && others_heard (core, m)
+               || (mh_failure_unreachable (m) && !patience->cut_off && others_heard (core, m)
                    && mh_fleet_silence_us (core, m->last_report_us) > patience->report_us))
-        mh_release_machine (core, m, m->deaf ? "silent, and gives no answer" : "silent");
-      else if (m->ignored || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
+        mh_release_machine (core, m, m->failed_probes ? "silent, and gives no answer" : "silent");
+      else if (m->ignored_answers
+               || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
         ask (core, m);
       return;
     }
   if (m->attempts->len || m->running)
     {
       /* A new leader does not wait for the workers to find it, where it knows their address. */
-      if (now - m->hinted_us > SECOND_REPORT_US)
+      if (now - m->unverified_us > SECOND_REPORT_US)
         ask (core, m);
       gint64 unseen = mh_fleet_silence_us (core, MAX (core->leader.since_us, m->known_us));
       if (unseen > patience->unseen_us
-          || (mh_silence_unreachable (m) && !patience->cut_off && others_heard (core, m)
+          || (mh_failure_unreachable (m) && !patience->cut_off && others_heard (core, m)
               && unseen > patience->report_us))
         mh_release_machine (core, m, "silent since the change of leader");
       return;
@@ -224,7 +226,7 @@
 }
 
 void
-mh_silence_look (MhCore *core)
+mh_failure_survey (MhCore *core)
 {
   guint silent = 0, unseen = 0, all = 0, hosts = 0;
   gint64 usual = core->settings->silence_us;
@@ -250,7 +252,8 @@
       all++;
       hosts += m->replicas > 0;
       if (m->reported)
-        silent += m->deaf || m->ignored || mh_fleet_silence_us (core, m->last_report_us) > usual;
+        silent += m->failed_probes || m->ignored_answers
+                  || mh_fleet_silence_us (core, m->last_report_us) > usual;
       else
         unseen++;
     }
@@ -268,7 +271,7 @@
   gint64 every
       = (gint64)((double)hosts * MH_SECOND_US / (PROBES_PER_CORE_S * core->settings->core_share));
   /* Both probes are over when the report is overdue. */
-  p.replica_us = MIN (p.suspect_us, MAX (report - DEAF_PROBES * PROBE_TIMEOUT_US, every));
+  p.replica_us = MIN (p.suspect_us, MAX (report - MAX_FAILED_PROBES * PROBE_TIMEOUT_US, every));
   core->patience = p;
 }
 
@@ -276,7 +279,7 @@
    cut off from them. Another controller may not be; and their leases run out, also of those that
    answer its questions. */
 void
-mh_silence_hand_over (MhCore *core)
+mh_failure_hand_over (MhCore *core)
 {
   gint64 heard_us = core->leader.since_us;
   guint machines = 0;
@@ -288,6 +291,6 @@
     }
   if (machines >= LEAST_OF_ZONE && core->settings->members->len > 0
       && mh_fleet_silence_us (core, heard_us)
-             > MAX (DEAF_LEADER_US, core->settings->report_us * 3 / 2))
+             > MAX (UNHEARD_LEADER_US, core->settings->report_us * 3 / 2))
     mh_leader_hand_over (core, "no worker is heard any more");
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -142,8 +142,8 @@
   g_hash_table_remove_all (core->machines);
   g_hash_table_remove_all (core->returned);
   g_queue_clear_full (&core->returned_order, returned_free);
-  g_ptr_array_set_size (core->due, 0);
-  mh_silence_clear (core);
+  g_ptr_array_set_size (core->commands_due, 0);
+  mh_failure_clear (core);
   core->replicas = 0;
   g_hash_table_remove_all (core->team_use);
   g_hash_table_remove_all (core->gangs);
@@ -162,7 +162,7 @@
       if (mh_gang_is (job))
         mh_gang_loaded (core, job);
       if (job->cancelled)
-        mh_fleet_kill_job (core, job);
+        mh_fleet_stop_job (core, job);
       else if (job->n_done == job->spec->tasks)
         {
           job->finished = true;
@@ -206,7 +206,7 @@
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
       const MhJobSpec *s = a->job->spec;
-      if (a->kill || a->phase != MH_TASK_FETCHING || mh_fleet_cached (m, a->job->image))
+      if (a->stopping || a->phase != MH_TASK_FETCHING || mh_fleet_cached (m, a->job->image))
         continue;
       double left
           = MAX (s->image_gb - (double)(core->now.mono_us - a->placed_us) / MH_SECOND_US * rate,
@@ -399,7 +399,7 @@
   if (mh_gang_is (job))
     mh_gang_task_over (core, job, done);
   /* Room that was made by preemption is wanted at once, and so is a new place for a replica. */
-  core->place_urgent |= a->kill || job->spec->shape == MH_SHAPE_SERVICE;
+  core->place_urgent |= a->stopping || job->spec->shape == MH_SHAPE_SERVICE;
   core->place_wanted = true;
   g_free (a);
   job_check_over (core, job);
@@ -415,16 +415,16 @@
 }
 
 void
-mh_fleet_due (MhCore *core, MhMachine *m)
+mh_fleet_send_commands (MhCore *core, MhMachine *m)
 {
-  if (m->due)
+  if (m->commands_due)
     return;
-  m->due = true;
-  g_ptr_array_add (core->due, m);
+  m->commands_due = true;
+  g_ptr_array_add (core->commands_due, m);
 }
 
 void
-mh_fleet_kill (MhCore *core, MhAttempt *a, gint64 grace_us)
+mh_fleet_stop (MhCore *core, MhAttempt *a, gint64 grace_us)
 {
   if (mh_gang_is (a->job) && !mh_job_over (a->job))
     {
@@ -437,20 +437,20 @@
       mh_fleet_attempt_over (core, a, false);
       return;
     }
-  if (a->kill && grace_us >= a->grace_us)
+  if (a->stopping && grace_us >= a->grace_us)
     return;
-  a->kill = true;
+  a->stopping = true;
   a->grace_us = grace_us;
-  a->killed_us = 0;
-  mh_fleet_due (core, a->machine);
+  a->stop_sent_us = 0;
+  mh_fleet_send_commands (core, a->machine);
 }
 
 void
-mh_fleet_kill_job (MhCore *core, MhJob *job)
+mh_fleet_stop_job (MhCore *core, MhJob *job)
 {
   for (guint i = 0; i < job->spec->tasks && job->n_live; i++)
     if (job->tasks[i].live)
-      mh_fleet_kill (core, job->tasks[i].live, 0);
+      mh_fleet_stop (core, job->tasks[i].live, 0);
   job_check_over (core, job);
 }
 
@@ -470,7 +470,7 @@
   g_hash_table_add (core->returned, r->name);
   while (m->attempts->len)
     mh_fleet_attempt_over (core, g_ptr_array_index (m->attempts, m->attempts->len - 1), false);
-  g_ptr_array_remove_fast (core->due, m);
+  g_ptr_array_remove_fast (core->commands_due, m);
   g_hash_table_remove (core->machines, m->name);
 }
 
@@ -500,7 +500,7 @@
     return false;
   if (a->start_session < m->session)
     return true;
-  if (!is_report || (!a->seen && !a->kill))
+  if (!is_report || (!a->seen && !a->stopping))
     return false; /* the start is simply sent again */
   const MhUnacknowledgedStart *l
       = mh_command_unacknowledged (m, a->job->spec->id, a->index, a->attempt);
@@ -618,13 +618,13 @@
   m->reported = true;
   m->heard_us = core->now.mono_us;
   if (!is_report)
-    m->ignored = 0;
-  if (!m->ignored)
-    m->deaf = 0;
+    m->ignored_answers = 0;
+  if (!m->ignored_answers)
+    m->failed_probes = 0;
   if (is_report || first)
     m->last_report_us = core->now.mono_us;
   if (!is_report)
-    mh_fleet_due (core, m);
+    mh_fleet_send_commands (core, m);
   m->session = r->session;
   m->sequence = r->sequence;
   m->token = r->token;
@@ -643,7 +643,7 @@
       m->endpoint = g_strdup (r->endpoint);
     }
   mh_fleet_identify (core, m, r->type, r->zone, r->spot);
-  mh_silence_heard (core, m->zone, is_report);
+  mh_failure_heard (core, m->zone, is_report);
   if (r->notice_us >= 0 && m->notice_until_us < 0)
     mh_info (core, "machine %s: the cloud takes it back in %.1f s", m->name,
              (double)r->notice_us / MH_SECOND_US);
@@ -724,20 +724,20 @@
 
 /* A report of unknown age: at most it tells where to ask. */
 static void
-hint (MhCore *core, MhMachine *m, const MhReport *r)
+note_unverified_report (MhCore *core, MhMachine *m, const MhReport *r)
 {
   if (m == NULL || m->reported || m->releasing)
     return;
   if (m->endpoint == NULL)
     m->endpoint = g_strdup (r->endpoint);
-  m->hinted_us = core->now.mono_us;
+  m->unverified_us = core->now.mono_us;
 }
 
 /* A worker sends its next report only when it has the answer to the last or has given it up, so
    that what the answer said must show. A machine whose reports arrive while nothing reaches it
    looks alive, and does nothing that it is told. */
 static void
-heed (MhCore *core, MhMachine *m, const MhReport *r)
+check_answer_received (MhCore *core, MhMachine *m, const MhReport *r)
 {
   bool asked = m->told && m->token < m->answered_token;
   bool ignores = m->told && (r->token < m->answered_token || r->session > m->session);
@@ -759,11 +759,11 @@
   m->told = false;
   if (ignores)
     {
-      if (++m->ignored == MH_IGNORED_ANSWERS)
+      if (++m->ignored_answers == MH_MAX_IGNORED_ANSWERS)
         mh_info (core, "machine %s: reports, but shows nothing of what it is told", m->name);
     }
   else if (asked)
-    m->ignored = 0;
+    m->ignored_answers = 0;
 }
 
 void
@@ -799,7 +799,7 @@
      heard nothing newer. Only one with an epoch of this leadership was surely sent in it; by
      any other the worker is merely answered, and it reports again when it has seen the epoch. */
   if (r->token < core->leader.own_epoch)
-    hint (core, m, r);
+    note_unverified_report (core, m, r);
   else
     {
       if (m == NULL)
@@ -809,7 +809,7 @@
         }
       if (newer (m, r))
         {
-          heed (core, m, r);
+          check_answer_received (core, m, r);
           observe (core, m, r, true);
           if (valid && !core->leader.lost)
             {
@@ -836,23 +836,23 @@
     {
       MhAttempt *a = mh_machine_attempt (m, i);
       const MhJobSpec *s = a->job->spec;
-      if (a->kill)
+      if (a->stopping)
         continue;
       gint64 ran = a->running_us ? core->now.mono_us - a->running_us : 0;
       /* Too late to save together: it may still end in time, and loses nothing more if not. */
       if (mh_gang_is (a->job) && a->running_us && left < s->save_us + MH_SECOND_US)
         continue;
       if (s->checkpoint_us > 0 && a->running_us)
-        mh_fleet_kill (core, a, MAX (0, MIN (s->save_us, left)));
+        mh_fleet_stop (core, a, MAX (0, MIN (s->save_us, left)));
       else if (s->shape == MH_SHAPE_SERVICE || s->estimate_us - ran > left)
-        mh_fleet_kill (core, a, 0);
+        mh_fleet_stop (core, a, 0);
     }
 }
 
 static void
 look_after (MhCore *core, MhMachine *m)
 {
-  mh_silence_check (core, m);
+  mh_failure_check (core, m);
   if (m->notice_until_us >= 0)
     drain_by_notice (core, m);
   mh_command_fence (core, m);
@@ -866,14 +866,14 @@
 {
   gint64 now = core->now.mono_us;
   mh_gang_step (core);
-  for (guint i = 0; i < core->due->len; i++)
+  for (guint i = 0; i < core->commands_due->len; i++)
     {
-      MhMachine *m = g_ptr_array_index (core->due, i);
-      m->due = false;
+      MhMachine *m = g_ptr_array_index (core->commands_due, i);
+      m->commands_due = false;
       if (!m->releasing)
         mh_command_send (core, m, false);
     }
-  g_ptr_array_set_size (core->due, 0);
+  g_ptr_array_set_size (core->commands_due, 0);
   if (now < core->swept_us + SWEEP_US)
     {
       mh_core_wake_at (core, core->swept_us + SWEEP_US);
@@ -882,7 +882,7 @@
   core->swept_us = now;
   GHashTableIter it;
   gpointer value;
-  mh_silence_look (core);
+  mh_failure_survey (core);
   g_hash_table_iter_init (&it, core->machines);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
@@ -891,6 +891,6 @@
         look_after (core, m);
     }
   forget_returned (core);
-  mh_silence_hand_over (core);
+  mh_failure_hand_over (core);
   mh_core_wake_at (core, now + SWEEP_US);
 }
--- a/src/front.c
+++ b/src/front.c
@@ -18,11 +18,11 @@
   MhFront *front;
   GMainContext *context;
   guint connections;
-  GArray *watched; /* GPollFD, as epoll has them */
-  gint64 due_us;   /* to be turned then; -1: only when something is ready */
-  bool marked;     /* is among the ready ones */
-  bool unwatched;  /* epoll refused one of them */
-  bool stale;      /* a connection was added: a closed one's fd may have come back as another */
+  GArray *watched;   /* GPollFD, as epoll has them */
+  gint64 arrives_us; /* to be turned then; -1: only when something is ready */
+  bool marked;       /* is among the ready ones */
+  bool unwatched;    /* epoll refused one of them */
+  bool stale;        /* a connection was added: a closed one's fd may have come back as another */
 };
 
 /* One source of the main context for all groups. */
@@ -46,13 +46,13 @@
 }
 
 static void
-due_at (MhFrontGroup *group, gint64 due_us)
+due_at (MhFrontGroup *group, gint64 arrives_us)
 {
   GSource *source = &group->front->source;
   gint64 next_us = g_source_get_ready_time (source);
-  group->due_us = due_us;
-  if (due_us >= 0 && (next_us < 0 || due_us < next_us))
-    g_source_set_ready_time (source, due_us);
+  group->arrives_us = arrives_us;
+  if (arrives_us >= 0 && (next_us < 0 || arrives_us < next_us))
+    g_source_set_ready_time (source, arrives_us);
 }
 
 static void
@@ -214,12 +214,12 @@
   for (guint i = 0; i < front->groups->len; i++)
     {
       MhFrontGroup *group = g_ptr_array_index (front->groups, i);
-      if (group->due_us < 0)
+      if (group->arrives_us < 0)
         continue;
-      if (group->due_us <= now_us)
+      if (group->arrives_us <= now_us)
         mark (group);
-      else if (next_us < 0 || group->due_us < next_us)
-        next_us = group->due_us;
+      else if (next_us < 0 || group->arrives_us < next_us)
+        next_us = group->arrives_us;
     }
   g_source_set_ready_time (&front->source, next_us);
 }
@@ -229,15 +229,15 @@
 {
   MhFront *front = (MhFront *)source;
   struct epoll_event events[EVENTS];
-  gint64 due_us = g_source_get_ready_time (source);
+  gint64 arrives_us = g_source_get_ready_time (source);
   (void)func;
   (void)data;
   int n = epoll_wait (front->epoll, events, EVENTS, 0);
   for (int i = 0; i < n; i++)
     mark (events[i].data.ptr);
-  if (due_us == 0)
+  if (arrives_us == 0)
     g_source_set_ready_time (source, -1); /* all that was woken is marked */
-  if (due_us >= 0)
+  if (arrives_us >= 0)
     look_at_clock (front);
   /* Those that are woken meanwhile have their turn next time. */
   g_autoptr (GPtrArray) ready = g_steal_pointer (&front->ready);
@@ -246,7 +246,7 @@
     {
       MhFrontGroup *group = g_ptr_array_index (ready, i);
       group->marked = false;
-      group->due_us = -1;
+      group->arrives_us = -1;
       turn (group);
     }
   return G_SOURCE_CONTINUE;
@@ -261,7 +261,7 @@
   group->front = front;
   group->context = g_main_context_new ();
   group->watched = g_array_new (FALSE, FALSE, sizeof (GPollFD));
-  group->due_us = -1;
+  group->arrives_us = -1;
   g_ptr_array_add (front->groups, group);
   g_ptr_array_add (front->vacant, group);
   return group;
--- a/src/gang.c
+++ b/src/gang.c
@@ -124,12 +124,12 @@
     {
       MhAttempt *a = job->tasks[i].live;
       gint64 grace = saves ? grace_us + core->settings->gang_peer_us : 0;
-      if (a == NULL || (a->kill && grace >= a->grace_us))
+      if (a == NULL || (a->stopping && grace >= a->grace_us))
         continue;
-      a->kill = true;
+      a->stopping = true;
       a->grace_us = grace;
-      a->killed_us = 0;
-      mh_fleet_due (core, a->machine);
+      a->stop_sent_us = 0;
+      mh_fleet_send_commands (core, a->machine);
     }
   settle_later (core, job);
 }
@@ -157,12 +157,12 @@
         continue;
       if (!a->start_sent && !a->loaded)
         mh_fleet_attempt_over (core, a, false);
-      else if (!a->kill)
+      else if (!a->stopping)
         {
-          a->kill = true;
+          a->stopping = true;
           a->grace_us = 0;
-          a->killed_us = 0;
-          mh_fleet_due (core, a->machine);
+          a->stop_sent_us = 0;
+          mh_fleet_send_commands (core, a->machine);
         }
     }
   if (job->n_live == 0)
@@ -395,7 +395,7 @@
           MhAttempt *a = g_ptr_array_index (victims, k);
           mh_info (f->core, "task %s/%u: stopped on %s to make room for gang %s", a->job->spec->id,
                    a->index, site->machine->name, s->id);
-          mh_fleet_kill (f->core, a, mh_job_grace_us (a->job));
+          mh_fleet_stop (f->core, a, mh_job_grace_us (a->job));
         }
     }
 }
--- a/src/job.c
+++ b/src/job.c
@@ -1,7 +1,7 @@
 #include "core-private.h"
 
 /* Of a record, in JSON: a task, with a machine's name of sixteen characters, and what is neither
-   job nor task. A record that turns out larger is laid out anew. */
+   job nor task. A record that turns out larger is re-chunked. */
 #define TASK_JSON 40u
 #define RECORD_JSON 200u
 #define LEAST_CHUNK 16u
--- a/src/leader.c
+++ b/src/leader.c
@@ -442,7 +442,7 @@
     {
       const MhMachine *m = value;
       /* One that gives no answer either will not report. */
-      if (!m->releasing && !m->reported && !mh_silence_unreachable (m)
+      if (!m->releasing && !m->reported && !mh_failure_unreachable (m)
           && (m->running || m->attempts->len))
         return false;
     }
--- a/src/place.c
+++ b/src/place.c
@@ -101,7 +101,7 @@
 typedef struct
 {
   const MhMachine *machine;
-  gint64 due_us;
+  gint64 arrives_us;
   const GRefString *image; /* NULL: none */
   double cpus, mem;        /* left */
 } Coming;
@@ -161,8 +161,8 @@
 static bool
 usable (const MhCore *core, const MhMachine *m)
 {
-  return live (m) && !m->draining && !m->ignored && m->notice_until_us < 0
-         && core->now.mono_us >= m->hold_us && !mh_silence_overdue (core, m);
+  return live (m) && !m->draining && !m->ignored_answers && m->notice_until_us < 0
+         && core->now.mono_us >= m->hold_us && !mh_failure_reports_overdue (core, m);
 }
 
 MhSpace
@@ -446,7 +446,7 @@
           || !p->type_fits[m->machine->type_index] || m->cpus + EPSILON < s->cpus
           || m->mem + EPSILON < s->mem_gb || (p->job->zone && p->job->zone != m->machine->zone))
         continue;
-      if (m->due_us - now + mh_queue_fetch_us (p->core, s) >= wait_us)
+      if (m->arrives_us - now + mh_queue_fetch_us (p->core, s) >= wait_us)
         continue;
       m->image = p->job->image;
       m->cpus -= s->cpus;
@@ -462,7 +462,7 @@
 may_stop (const MhJob *wants, const MhAttempt *a)
 {
   const MhJob *holds = a->job;
-  if (holds == wants || a->kill)
+  if (holds == wants || a->stopping)
     return false;
   /* The one task with which a starved job begins gives way to urgent work alone: it once was
      stopped in the very pass that had placed it. */
@@ -530,7 +530,7 @@
   for (guint i = 0; i < m->attempts->len; i++)
     {
       const MhAttempt *a = mh_machine_attempt (m, i);
-      if (a->kill)
+      if (a->stopping)
         add_task (&x, a->job->spec);
       else if (may_stop (wants, a))
         add_task (could, a->job->spec);
@@ -627,7 +627,7 @@
       MhAttempt *a = g_ptr_array_index (victims, i);
       mh_info (p->core, "task %s/%u: stopped on %s to make room for %s", a->job->spec->id, a->index,
                best->name, s->id);
-      mh_fleet_kill (p->core, a, mh_job_grace_us (a->job));
+      mh_fleet_stop (p->core, a, mh_job_grace_us (a->job));
     }
   mh_place_promise (best, s, 1);
   return true;
@@ -851,7 +851,7 @@
       || now - m->rented_us > 2 * m->type->boot_us)
     return;
   Coming c = { .machine = m,
-               .due_us = MAX (m->rented_us + m->type->boot_us, now + m->type->boot_us / 4),
+               .arrives_us = MAX (m->rented_us + m->type->boot_us, now + m->type->boot_us / 4),
                .cpus = m->type->cpus,
                .mem = m->type->mem_gb };
   g_array_append_val (pass->coming, c);
@@ -869,7 +869,7 @@
       MhMachine *m = value;
       m->promised_cpus = m->promised_mem = 0;
       add_coming (pass, m);
-      /* A machine that may be cut off is no live one: a dark zone leaves the count. */
+      /* A machine that may be cut off is no live one: a partitioned zone leaves the count. */
       if (!live (m) || mh_fleet_silent (pass->core, m, pass->core->settings->report_us * 5 / 2))
         continue;
       guint i = 0;
--- a/src/scale.c
+++ b/src/scale.c
@@ -265,12 +265,12 @@
 {
   for (guint i = 0; i < m->attempts->len; i++)
     if (mh_machine_attempt (m, i)->job->spec->shape != MH_SHAPE_SERVICE
-        || mh_machine_attempt (m, i)->kill)
+        || mh_machine_attempt (m, i)->stopping)
       return;
   if (m->attempts->len == 0)
     return;
   MhAttempt *a = mh_machine_attempt (m, 0);
-  mh_fleet_kill (core, a, mh_job_grace_us (a->job));
+  mh_fleet_stop (core, a, mh_job_grace_us (a->job));
 }
 
 /* A machine that holds a few replicas long after the work it was rented for costs as much as a full
@@ -400,7 +400,7 @@
           {
             g_autoptr (GRefString) name = g_ref_string_new_intern (*zone);
             /* What comes up in a zone that is cut off is of no use until that is over. */
-            if (is_refused (core, t, *zone, spot) || mh_silence_dark (core, name))
+            if (is_refused (core, t, *zone, spot) || mh_failure_zone_partitioned (core, name))
               continue;
             Kind k = { .type = t,
                        .zone = g_ref_string_acquire (name),
--- a/src/store.c
+++ b/src/store.c
@@ -153,7 +153,7 @@
   return MIN (job->n_records - 1, MIN (DROPS_WITH_FINAL, core->settings->txn_ops - 2));
 }
 
-/* ---- laying out anew ----
+/* ---- re-chunking ----
 
    A job that was written in larger records than are taken now, or will be from some unknown moment,
    is written in smaller ones before anything else of it is. The new records that replace no old one
@@ -167,45 +167,45 @@
 /* Those that go together with the first; more old ones than a transaction takes are replaced one by
    one, from the last. */
 static guint
-together (const MhCore *core, const MhJob *job)
+rechunked_together (const MhCore *core, const MhJob *job)
 {
-  return MIN (job->old_records, core->settings->txn_ops);
+  return MIN (job->unchunked_records, core->settings->txn_ops);
 }
 
 static bool
-may_lay (const MhCore *core, const MhRecord *r)
+may_rechunk (const MhCore *core, const MhRecord *r)
 {
   const MhJob *job = r->job;
-  guint first = together (core, job);
-  if (r->laid || (r->chunk && r->chunk < first))
+  guint first = rechunked_together (core, job);
+  if (r->rechunked_rev || (r->chunk && r->chunk < first))
     return false;
   /* One in the place of an old one: what that held must be in the others, and durable. */
-  for (guint i = r->chunk < job->old_records ? MAX (r->chunk + 1, first) : job->n_records;
+  for (guint i = r->chunk < job->unchunked_records ? MAX (r->chunk + 1, first) : job->n_records;
        i < job->n_records; i++)
-    if (job->records[i].laid == 0)
+    if (job->records[i].rechunked_rev == 0)
       return false;
   return true;
 }
 
 static void
-laid_out (MhCore *core, MhJob *job)
+rechunked (MhCore *core, MhJob *job)
 {
   mh_info (core, "job %s: laid out anew in %u records", job->spec->id, job->n_records);
-  job->old_records = 0;
+  job->unchunked_records = 0;
   for (guint i = 0; i < job->n_records; i++)
     {
       MhRecord *r = &job->records[i];
-      r->durable = MAX (r->durable, r->laid);
+      r->durable = MAX (r->durable, r->rechunked_rev);
       if (r->rev > r->durable && !r->writing)
         enqueue (core, r, MH_URGENCY_START);
     }
   for (guint i = 0; i < job->spec->tasks; i++)
     if (job->tasks[i].live)
-      mh_fleet_due (core, job->tasks[i].live->machine);
+      mh_fleet_send_commands (core, job->tasks[i].live->machine);
 }
 
 static bool
-anything_to_tell (const MhJob *job, guint chunk)
+has_attempts (const MhJob *job, guint chunk)
 {
   guint end = MIN ((chunk + 1) * job->chunk, job->spec->tasks);
   for (guint i = chunk * job->chunk; i < end; i++)
@@ -215,13 +215,13 @@
 }
 
 static void
-lay_out (MhCore *core, MhJob *job)
+rechunk (MhCore *core, MhJob *job)
 {
   for (guint i = 0; i < job->n_records; i++)
-    if (i < job->old_records || anything_to_tell (job, i))
+    if (i < job->unchunked_records || has_attempts (job, i))
       mh_store_touch (core, &job->records[i], MH_URGENCY_START);
     else
-      job->records[i].laid = 1; /* below every rev that is given from now on */
+      job->records[i].rechunked_rev = 1; /* below every rev that is given from now on */
 }
 
 static const char *
@@ -237,17 +237,17 @@
   MhJob *job = r->job;
   r->writing = false;
   r->version = version;
-  r->laid = w->rev;
-  if (job->old_records && r->chunk && !w->final)
+  r->rechunked_rev = w->rev;
+  if (job->unchunked_records && r->chunk && !w->final)
     return; /* counts once the first record says so */
-  if (job->old_records && !w->final)
-    laid_out (core, job);
+  if (job->unchunked_records && !w->final)
+    rechunked (core, job);
   r->durable = w->rev;
   /* What was waiting for this to be on record may be ordered now. */
   guint end = MIN ((r->chunk + 1) * job->chunk, job->spec->tasks);
   for (guint i = r->chunk * job->chunk; i < end; i++)
     if (job->tasks[i].live && !job->tasks[i].live->start_sent)
-      mh_fleet_due (core, job->tasks[i].live->machine);
+      mh_fleet_send_commands (core, job->tasks[i].live->machine);
   if (r->chunk == 0)
     {
       if (!job->accepted)
@@ -456,7 +456,7 @@
   if (r->writing)
     return false;
   if (!r->job->finished)
-    return r->job->old_records == 0 || may_lay (core, r);
+    return r->job->unchunked_records == 0 || may_rechunk (core, r);
   /* The final record ends all others: it waits until none of them is on its way. */
   if (r->chunk != 0)
     return false;
@@ -519,8 +519,8 @@
 {
   MhJob *job = r->job;
   guint drops = job->finished ? drops_with_final (core, job) : 0;
-  bool first = job->old_records && !job->finished && r->chunk == 0;
-  guint need = job->finished ? 2 + drops : first ? together (core, job) : 1;
+  bool first = job->unchunked_records && !job->finished && r->chunk == 0;
+  guint need = job->finished ? 2 + drops : first ? rechunked_together (core, job) : 1;
   if (b->changes->len > 0 && b->changes->len + need > b->most)
     return false;
   MhValue *v
@@ -551,7 +551,7 @@
   g_array_append_val (b->txn->writes, w);
   r->writing = true;
   r->again = MH_URGENCY_PROGRESS;
-  for (guint i = 1; first && i < together (core, job); i++)
+  for (guint i = 1; first && i < rechunked_together (core, job); i++)
     add_companion (b, &job->records[i]);
   return true;
 }
@@ -725,7 +725,7 @@
       guint fits = mh_job_chunk (spec, core->settings->value_bytes);
       guint old = per_record > fits && fits ? (spec->tasks + per_record - 1) / per_record : 0;
       job = mh_job_new (spec, old ? fits : per_record, core->settings->value_bytes, at, &core->now);
-      job->old_records = old;
+      job->unchunked_records = old;
       job->accepted = true;
       job->cancelled = job->cancel_durable = cancelled;
       g_hash_table_insert (core->jobs, job->spec->id, job);
@@ -784,8 +784,8 @@
       gpointer job;
       g_hash_table_iter_init (&it, core->jobs);
       while (g_hash_table_iter_next (&it, NULL, &job))
-        if (((MhJob *)job)->old_records)
-          lay_out (core, job);
+        if (((MhJob *)job)->unchunked_records)
+          rechunk (core, job);
       mh_leader_loaded (core);
     }
 }
