--- /dev/null
+++ b/src/record.h
@@ -0,0 +1,41 @@
+/* The stored form of everything that must outlive a controller.
+
+   Versions of the service run side by side and read each other's records: keys, field names and the
+   meaning of each field never change, whatever the code calls them. Unknown fields are ignored. */
+#pragma once
+
+#include "core-types.h"
+
+char *
+mh_record_key (const char *job, guint chunk);
+MhValue *
+mh_record_write (const MhRecord *record, const char *tag);
+MhValue *
+mh_record_write_final (const MhJob *job, const char *tag);
+/* The lease tells an earlier life of the same node from this one. */
+MhValue *
+mh_record_write_leader (const char *node, guint64 epoch, guint64 lease_id);
+/* Keys of machines that are being given back begin with this. */
+#define MH_RECORD_RELEASES "r/"
+MhValue *
+mh_record_write_release (char **machines);
+char **
+mh_record_read_release (const MhValue *value); /* NULL: malformed */
+MhValue *
+mh_record_write_epoch (guint64 epoch);
+bool
+mh_record_read_leader (const MhValue *value, char **node, guint64 *epoch, guint64 *lease_id);
+bool
+mh_record_read_epoch (const MhValue *value, guint64 *epoch);
+bool
+mh_record_read_final (const MhValue *value, MhUserAnswer *answer);
+char *
+mh_record_read_tag (const MhValue *value);
+/* Reads the job's own part of chunk 0. */
+MhJobSpec *
+mh_record_read_job (const MhValue *value, const char *id, gint64 *submitted_wall_us, guint *chunk,
+                    bool *cancelled);
+typedef void (*MhRecordTaskFunc) (gpointer data, guint index, guint32 attempt,
+                                  const char *machine /* NULL: done */);
+bool
+mh_record_read_tasks (const MhValue *value, MhRecordTaskFunc each, gpointer data);
