--- /dev/null
+++ b/tests/controller.c
@@ -0,0 +1,304 @@
+#include "controller.h"
+
+#include "production-core.h"
+
+#include <glib/gstdio.h>
+#include <unistd.h>
+
+struct Controller
+{
+  MhCore *core;               /* this version's; NULL: it is the other */
+  ProductionCore *production; /* the other's */
+};
+
+/* ---- settings, as the platform's file ---- */
+
+static void
+write_members (GString *text, const MhSettings *settings)
+{
+  for (guint i = 0; i < settings->members->len; i++)
+    {
+      const MhMember *member = g_ptr_array_index (settings->members, i);
+      g_string_append_printf (text, "[[members]]\nnode_name = \"%s\"\nendpoint = \"%s\"\n",
+                              member->name, member->endpoint);
+    }
+}
+
+static void
+write_teams (GString *text, const MhSettings *settings)
+{
+  for (guint i = 0; i < settings->teams->len; i++)
+    {
+      const MhTeam *team = g_ptr_array_index (settings->teams, i);
+      g_string_append_printf (text,
+                              "[[settings.teams]]\nname = \"%s\"\n"
+                              "cpus = %f\ncpus_max = %f\ngpus = %f\ngpus_max = %f\n",
+                              team->name, team->cpus, team->cpus_max, team->gpus, team->gpus_max);
+    }
+}
+
+static double
+seconds (gint64 time_us)
+{
+  return (double)time_us / MH_SECOND_US;
+}
+
+static void
+write_limits (GString *text, const MhSettings *settings)
+{
+  g_string_append_printf (text,
+                          "[settings.workers]\nreport_s = %f\nlease_s = %f\ncancel_s = %f\n"
+                          "gang_wait_s = %f\ngang_peer_s = %f\n",
+                          seconds (settings->report_us), seconds (settings->worker_lease_us),
+                          seconds (settings->cancel_us), seconds (settings->gang_wait_us),
+                          seconds (settings->gang_peer_us));
+  g_string_append_printf (text,
+                          "[settings.state]\nrps = %f\nwrite_rps = %f\nvalue_kb = %f\n"
+                          "txn_ops = %u\n",
+                          settings->state_rps, settings->state_write_rps,
+                          settings->value_bytes / 1024.0, settings->txn_ops);
+  if (settings->next_write_rps > 0)
+    g_string_append_printf (text, "[settings.state.next]\nwrite_rps = %f\n",
+                            settings->next_write_rps);
+  g_string_append_printf (text, "[settings.cloud]\nrps = %f\nlist_lag_s = %f\n",
+                          settings->cloud_rps, seconds (settings->list_lag_us));
+}
+
+static char *
+write_settings (const MhSettings *settings)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_string_append_printf (text,
+                          "node_name = \"%s\"\nzone = \"%s\"\nfront = \"%s\"\npeer_bind = \"%s\"\n",
+                          settings->node, settings->zone, settings->front, settings->peer_bind);
+  write_members (text, settings);
+  g_string_append_printf (text, "[endpoints]\ncloud = \"%s\"\nstate = \"%s\"\n", settings->cloud,
+                          settings->state);
+  write_teams (text, settings);
+  write_limits (text, settings);
+
+  g_autoptr (GError) error = NULL;
+  char *path = NULL;
+  int file = g_file_open_tmp ("minthill-XXXXXX.toml", &path, &error);
+  g_assert_no_error (error);
+  close (file);
+  g_file_set_contents (path, text->str, (gssize)text->len, &error);
+  g_assert_no_error (error);
+  return path;
+}
+
+/* ---- conversions ---- */
+
+static ProductionNow
+to_production (const MhNow *now)
+{
+  return (ProductionNow){ .mono_us = now->mono_us, .wall_us = now->wall_us, .jitter = now->jitter };
+}
+
+static GBytes *
+to_bytes (const MhValue *value)
+{
+  return value ? mh_value_save (value) : NULL;
+}
+
+static MhValue *
+to_value (GBytes *bytes)
+{
+  gsize size;
+  if (bytes == NULL)
+    return NULL;
+  const void *data = g_bytes_get_data (bytes, &size);
+  MhValue *value = mh_value_load (data, size);
+  g_assert_nonnull (value);
+  return value;
+}
+
+static const MhActionKind kinds[] = {
+  [PRODUCTION_CALL] = MH_ACTION_CALL,
+  [PRODUCTION_ANNOUNCE_LEADER] = MH_ACTION_ANNOUNCE_LEADER,
+  [PRODUCTION_FORWARD] = MH_ACTION_FORWARD,
+  [PRODUCTION_ANSWER_USER] = MH_ACTION_ANSWER_USER,
+  [PRODUCTION_ANSWER_REPORT] = MH_ACTION_ANSWER_REPORT,
+  [PRODUCTION_LOG] = MH_ACTION_LOG,
+};
+static const MhTarget targets[] = {
+  [PRODUCTION_STATE_SERVICE] = MH_TARGET_STATE,
+  [PRODUCTION_CLOUD] = MH_TARGET_CLOUD,
+  [PRODUCTION_WORKER] = MH_TARGET_WORKER,
+};
+
+static MhRequest *
+to_request (ProductionAction *popped, MhValue *body)
+{
+  MhRequest *request = g_new0 (MhRequest, 1);
+  request->target = targets[popped->target];
+  request->method = g_intern_string (popped->method);
+  request->endpoint = g_steal_pointer (&popped->endpoint);
+  request->path = g_steal_pointer (&popped->path);
+  request->body = body;
+  return request;
+}
+
+static MhAction *
+to_action (ProductionAction *popped)
+{
+  MhAction *action = g_new0 (MhAction, 1);
+  MhValue *body = to_value (popped->body);
+  action->kind = kinds[popped->kind];
+  action->id = popped->id;
+  action->timeout_us = popped->timeout_us;
+  action->status = popped->status;
+  action->text = g_steal_pointer (&popped->text);
+  action->answer = (MhUserAnswer){ .status = popped->answer.status,
+                                   .retry_after_s = popped->answer.retry_after_s,
+                                   .state = (MhJobState)popped->answer.state,
+                                   .done = popped->answer.done,
+                                   .running = popped->answer.running };
+  if (action->kind == MH_ACTION_CALL)
+    action->request = to_request (popped, body);
+  else
+    action->body = body;
+  g_clear_pointer (&popped->body, g_bytes_unref);
+  g_free (popped->method);
+  g_free (popped->endpoint);
+  g_free (popped->path);
+  return action;
+}
+
+/* ---- the controller ---- */
+
+Controller *
+controller_new (ControllerVersion version, const MhSettings *settings, const MhNow *now)
+{
+  Controller *self = g_new0 (Controller, 1);
+  if (version == CONTROLLER_CURRENT)
+    {
+      self->core = mh_core_new (settings, now);
+      return self;
+    }
+  ProductionNow at = to_production (now);
+  g_autofree char *path = write_settings (settings);
+  self->production = production_core_new (path, &at);
+  g_remove (path);
+  return self;
+}
+
+void
+controller_free (Controller *self)
+{
+  if (self == NULL)
+    return;
+  mh_core_free (self->core);
+  production_core_free (self->production);
+  g_free (self);
+}
+
+void
+controller_tick (Controller *self, const MhNow *now)
+{
+  ProductionNow at = to_production (now);
+  if (self->core)
+    mh_core_tick (self->core, now);
+  else
+    production_core_tick (self->production, &at);
+}
+
+void
+controller_user (Controller *self, const MhNow *now, guint64 id, MhUserVerb verb, const char *job,
+                 MhJobSpec *spec, bool forwarded)
+{
+  if (self->core)
+    {
+      mh_core_user (self->core, now, id, verb, job, spec, forwarded);
+      return;
+    }
+  ProductionNow at = to_production (now);
+  g_autoptr (MhValue) value = spec ? mh_wire_write_submission (spec) : NULL;
+  g_autoptr (GBytes) submission = to_bytes (value);
+  mh_job_spec_free (spec);
+  production_core_user (self->production, &at, id, (guint)verb, job, submission, forwarded);
+}
+
+void
+controller_report (Controller *self, const MhNow *now, guint64 id, const MhValue *value)
+{
+  if (self->core)
+    {
+      g_autoptr (MhReport) report = mh_wire_read_report (value);
+      g_assert_nonnull (report);
+      mh_core_report (self->core, now, id, report);
+      return;
+    }
+  ProductionNow at = to_production (now);
+  g_autoptr (GBytes) bytes = to_bytes (value);
+  production_core_report (self->production, &at, id, bytes);
+}
+
+void
+controller_reply (Controller *self, const MhNow *now, guint64 id, guint status, const MhValue *body)
+{
+  if (self->core)
+    {
+      mh_core_reply (self->core, now, id, status, body);
+      return;
+    }
+  ProductionNow at = to_production (now);
+  g_autoptr (GBytes) bytes = to_bytes (body);
+  production_core_reply (self->production, &at, id, status, bytes);
+}
+
+void
+controller_forwarded (Controller *self, const MhNow *now, guint64 id, const MhUserAnswer *answer)
+{
+  if (self->core)
+    {
+      mh_core_forwarded (self->core, now, id, answer);
+      return;
+    }
+  ProductionNow at = to_production (now);
+  ProductionAnswer given = {};
+  if (answer)
+    given = (ProductionAnswer){ .status = answer->status,
+                                .retry_after_s = answer->retry_after_s,
+                                .state = (guint)answer->state,
+                                .done = answer->done,
+                                .running = answer->running };
+  production_core_forwarded (self->production, &at, id, answer ? &given : NULL);
+}
+
+void
+controller_leader_announced (Controller *self, const MhNow *now, const char *node, guint64 epoch)
+{
+  ProductionNow at = to_production (now);
+  if (self->core)
+    mh_core_leader_announced (self->core, now, node, epoch);
+  else
+    production_core_leader_announced (self->production, &at, node, epoch);
+}
+
+MhAction *
+controller_pop (Controller *self, gint64 mono_us)
+{
+  ProductionAction popped;
+  if (self->core)
+    return mh_core_pop (self->core, mono_us);
+  return production_core_pop (self->production, mono_us, &popped) ? to_action (&popped) : NULL;
+}
+
+gint64
+controller_next_wake (const Controller *self)
+{
+  return self->core ? mh_core_next_wake (self->core) : production_core_next_wake (self->production);
+}
+
+bool
+controller_leads (const Controller *self)
+{
+  return self->core ? mh_core_leads (self->core) : production_core_leads (self->production);
+}
+
+bool
+controller_ready (const Controller *self)
+{
+  return self->core ? mh_core_ready (self->core) : production_core_ready (self->production);
+}
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -156,10 +156,10 @@
   if (f->replied)
     return;
   f->replied = true;
-  if (n->core == NULL || n->life != f->life)
+  if (n->controller == NULL || n->life != f->life)
     return;
   MhNow t = node_now (n);
-  mh_core_reply (n->core, &t, f->id, f->status, f->body);
+  controller_reply (n->controller, &t, f->id, f->status, f->body);
   node_drain (n);
 }
 
@@ -380,10 +380,10 @@
 {
   Between *b = data;
   SimNode *n = &sim->nodes[b->to];
-  if (n->core == NULL || peers_cut (sim, b->from, b->to))
+  if (n->controller == NULL || peers_cut (sim, b->from, b->to))
     return;
   MhNow t = node_now (n);
-  mh_core_leader_announced (n->core, &t, b->job, b->id);
+  controller_leader_announced (n->controller, &t, b->job, b->id);
   node_drain (n);
 }
 
@@ -392,10 +392,10 @@
 {
   Between *b = data;
   SimNode *n = &sim->nodes[b->from];
-  if (n->core == NULL || n->life != b->life)
+  if (n->controller == NULL || n->life != b->life)
     return;
   MhNow t = node_now (n);
-  mh_core_forwarded (n->core, &t, b->id, b->answered ? &b->answer : NULL);
+  controller_forwarded (n->controller, &t, b->id, b->answered ? &b->answer : NULL);
   node_drain (n);
 }
 
@@ -404,7 +404,7 @@
 {
   Between *b = data;
   SimNode *n = &sim->nodes[b->to];
-  if (n->core == NULL || peers_cut (sim, b->from, b->to))
+  if (n->controller == NULL || peers_cut (sim, b->from, b->to))
     return;
   Origin *o = g_new0 (Origin, 1);
   o->from = FROM_NODE;
@@ -412,8 +412,8 @@
   o->life = b->life;
   o->id = b->id;
   MhNow t = node_now (n);
-  mh_core_user (n->core, &t, node_request (n, o), b->verb, b->job, g_steal_pointer (&b->spec),
-                true);
+  controller_user (n->controller, &t, node_request (n, o), b->verb, b->job,
+                   g_steal_pointer (&b->spec), true);
   node_drain (n);
 }
 
@@ -486,12 +486,12 @@
 node_wake (Sim *sim, gpointer data)
 {
   SimNode *n = data;
-  if (n->core == NULL || sim->now_us < n->wake_us)
+  if (n->controller == NULL || sim->now_us < n->wake_us)
     return;
   n->wake_us = G_MAXINT64;
   n->wakes++;
   MhNow t = node_now (n);
-  mh_core_tick (n->core, &t);
+  controller_tick (n->controller, &t);
   node_drain (n);
 }
 
@@ -500,7 +500,7 @@
 {
   SimNode *n = data;
   (void)sim;
-  if (n->core)
+  if (n->controller)
     node_drain (n);
 }
 
@@ -516,7 +516,7 @@
       at_node (sim, n, n->frozen_us, node_resume, n, NULL);
       return;
     }
-  for (MhAction *a; (a = mh_core_pop (n->core, node_now (n).mono_us));)
+  for (MhAction *a; (a = controller_pop (n->controller, node_now (n).mono_us));)
     {
       if (a->kind == MH_ACTION_CALL)
         {
@@ -556,7 +556,7 @@
       mh_action_free (a);
     }
   MhNow t = node_now (n);
-  gint64 in = MAX (mh_core_next_wake (n->core) - t.mono_us, 1000);
+  gint64 in = MAX (controller_next_wake (n->controller) - t.mono_us, 1000);
   if (n->wake_us == G_MAXINT64 || sim->now_us + in < n->wake_us)
     {
       n->wake_us = sim->now_us + in;
@@ -568,7 +568,7 @@
 sim_stop_node (Sim *sim, guint index)
 {
   SimNode *n = &sim->nodes[index];
-  g_clear_pointer (&n->core, mh_core_free);
+  g_clear_pointer (&n->controller, controller_free);
   g_hash_table_remove_all (n->requests);
   n->life++;
 }
@@ -577,16 +577,25 @@
 sim_start_node (Sim *sim, guint index)
 {
   SimNode *n = &sim->nodes[index];
-  if (n->core)
+  if (n->controller)
     return;
   MhNow t = node_now (n);
   n->wake_us = G_MAXINT64;
   n->frozen_us = n->freeze_deciding_us = 0;
-  n->core = mh_core_new (n->settings, &t);
-  mh_core_tick (n->core, &t);
+  n->controller = controller_new (n->version, n->settings, &t);
+  controller_tick (n->controller, &t);
   node_drain (n);
 }
 
+void
+sim_restart_node (Sim *sim, guint index, ControllerVersion version, double seconds)
+{
+  sim_stop_node (sim, index);
+  sim->nodes[index].version = version;
+  sim_run (sim, seconds);
+  sim_start_node (sim, index);
+}
+
 void
 sim_freeze_node (Sim *sim, guint index, double seconds)
 {
@@ -601,12 +610,12 @@
     {
       SimNode *n = &sim->nodes[i];
       /* One that stands still does nothing, whatever its memory says. */
-      if (n->core == NULL || n->frozen_us > sim->now_us)
+      if (n->controller == NULL || n->frozen_us > sim->now_us)
         continue;
       MhNow t = node_now (n);
-      mh_core_tick (n->core, &t);
+      controller_tick (n->controller, &t);
       node_drain (n);
-      if (mh_core_leads (n->core))
+      if (controller_leads (n->controller))
         {
           /* Never two at once, whatever has happened. */
           g_assert_null (leader);
@@ -704,10 +713,8 @@
 {
   SentReport *report = data;
   SimNode *n = &sim->nodes[report->node];
-  if (n->core == NULL || n->workers_cut_us > sim->now_us || n->reports_lost_us > sim->now_us)
+  if (n->controller == NULL || n->workers_cut_us > sim->now_us || n->reports_lost_us > sim->now_us)
     return;
-  g_autoptr (MhReport) r = mh_wire_read_report (report->body);
-  g_assert_nonnull (r);
   Origin *o = g_new0 (Origin, 1);
   o->from = FROM_WORKER;
   o->worker = report->worker;
@@ -715,7 +722,7 @@
   o->session = report->session;
   o->sent_us = report->sent_us;
   MhNow t = node_now (n);
-  mh_core_report (n->core, &t, node_request (n, o), r);
+  controller_report (n->controller, &t, node_request (n, o), report->body);
   node_drain (n);
 }
 
@@ -864,7 +871,7 @@
 {
   bool settled = u->told_done || u->told_cancelled;
   SimNode *n = &sim->nodes[g_rand_int_range (sim->random, 0, SIM_NODES)];
-  if (n->core == NULL || n->frozen_us > sim->now_us)
+  if (n->controller == NULL || n->frozen_us > sim->now_us)
     return; /* the user gives up soon */
   Origin *o = g_new0 (Origin, 1);
   o->from = FROM_USER;
@@ -877,8 +884,8 @@
                                                                        : MH_USER_STATUS;
   o->job = g_strdup (u->job->spec->id);
   MhNow t = node_now (n);
-  mh_core_user (n->core, &t, node_request (n, o), o->verb, u->job->spec->id,
-                o->verb == MH_USER_SUBMIT ? spec_copy (u->job->spec) : NULL, false);
+  controller_user (n->controller, &t, node_request (n, o), o->verb, u->job->spec->id,
+                   o->verb == MH_USER_SUBMIT ? spec_copy (u->job->spec) : NULL, false);
   node_drain (n);
 }
 
@@ -959,7 +966,7 @@
   o->answer = answer;
   o->spec = spec ? spec_copy (spec) : NULL;
   MhNow t = node_now (n);
-  mh_core_user (n->core, &t, node_request (n, o), verb, job, spec, false);
+  controller_user (n->controller, &t, node_request (n, o), verb, job, spec, false);
   node_drain (n);
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -2,7 +2,7 @@
    fault comes from a seed or from the test. */
 #pragma once
 
-#include "core.h"
+#include "controller.h"
 #include "world.h"
 
 #define SIM_NODES 3
@@ -15,8 +15,9 @@
   guint index;
   char *name;
   MhSettings *settings;
-  MhCore *core; /* NULL: down */
-  guint life;   /* which process of this node */
+  ControllerVersion version; /* that it has when it starts again */
+  Controller *controller;    /* NULL: down */
+  guint life;                /* which process of this node */
   guint wakes;
   double drift;
   GHashTable *requests;
@@ -101,6 +102,9 @@
 sim_stop_node (Sim *sim, guint node);
 void
 sim_start_node (Sim *sim, guint node);
+/* It ends, and is back after `seconds` with that version. */
+void
+sim_restart_node (Sim *sim, guint node, ControllerVersion version, double seconds);
 SimNode *
 sim_leader (Sim *sim); /* NULL: none that is valid */
 void
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -813,22 +813,22 @@
   WAIT (sim, 10, has_leader, NULL);
   sim_run (sim, 2);
   SimNode *other = &sim->nodes[(sim_leader (sim)->index + 1) % SIM_NODES];
-  g_assert_true (mh_core_ready (other->core));
+  g_assert_true (controller_ready (other->controller));
   other->peers_cut_us = sim->now_us + 20 * MH_SECOND_US;
   for (guint i = 0; i < 2; i++)
     sim_ask (sim, other->index, MH_USER_STATUS, "j-000001", NULL, &a);
   g_assert_cmpuint (a.status, ==, 503);
   sim_run (sim, 0.5);
-  g_assert_false (mh_core_ready (other->core));
+  g_assert_false (controller_ready (other->controller));
   sim_run (sim, 5);
-  g_assert_true (mh_core_ready (other->core));
+  g_assert_true (controller_ready (other->controller));
   sim_run (sim, 20);
   g_assert_cmpuint (sim_ask (sim, other->index, MH_USER_STATUS, "j-000001", NULL, &a), ==, 404);
   sim_stop_node (sim, sim_leader (sim)->index);
   for (guint i = 0; i < 20; i++)
     {
       sim_run (sim, 0.2);
-      g_assert_true (mh_core_ready (other->core));
+      g_assert_true (controller_ready (other->controller));
     }
   finish (sim);
 }
--- a/tests/test-random.c
+++ b/tests/test-random.c
@@ -109,11 +109,50 @@
     }
 }
 
+/* Days in which the controllers' versions change have seeds from here on. */
+#define VERSIONS_SEED 10000u
+#define VERSIONS_DAYS 24u
+#define NEXT_VALUE_BYTES 2048u
+#define NEXT_TXN_OPS 5u
+
+/* All begin with the version in production. The limits that come next are announced on every other
+   of these days. */
+static void
+begin_with_production (Sim *sim, bool limits)
+{
+  for (guint i = 0; i < SIM_NODES; i++)
+    {
+      sim_stop_node (sim, i);
+      if (limits)
+        {
+          sim->nodes[i].settings->value_bytes = NEXT_VALUE_BYTES;
+          sim->nodes[i].settings->txn_ops = sim->nodes[i].settings->batch = NEXT_TXN_OPS;
+        }
+      sim_restart_node (sim, i, CONTROLLER_PRODUCTION, 0);
+    }
+}
+
+/* Whoever starts again next has either version; now and then one is replaced. */
+static void
+draw_versions (Sim *sim)
+{
+  for (guint i = 0; i < SIM_NODES; i++)
+    if (sim->nodes[i].controller == NULL)
+      sim->nodes[i].version
+          = g_rand_boolean (sim->random) ? CONTROLLER_CURRENT : CONTROLLER_PRODUCTION;
+  if (g_rand_int_range (sim->random, 0, 4) == 0)
+    sim_stop_node (sim, (guint)g_rand_int_range (sim->random, 0, SIM_NODES));
+}
+
 static void
 test_day (gconstpointer data)
 {
   Sim *sim = sim_new (GPOINTER_TO_UINT (data));
   GRand *r = sim->random;
+  bool versions = GPOINTER_TO_UINT (data) >= VERSIONS_SEED;
+  bool limits = versions && GPOINTER_TO_UINT (data) % 2;
+  if (versions)
+    begin_with_production (sim, limits);
   guint number = 0;
   /* Now and then the fleet is large, or very large. */
   guint machines = GPOINTER_TO_UINT (data) % 40 == 0   ? 2000
@@ -153,12 +192,22 @@
             s->scatter = true;
           if (g_rand_int_range (r, 0, 6) == 0)
             s->zone = g_strdup ("b");
-          sim_submit (sim, s, service ? 0 : g_rand_double_range (r, 1, 10));
+          /* At most half of its tasks may be in a zone, and only one zone is allowed. */
+          bool impossible = s->shape == MH_SHAPE_GANG && s->scatter && s->zone && s->tasks > 1;
+          sim_submit (sim, s, service ? 0 : g_rand_double_range (r, 1, 10))->impossible
+              = impossible;
         }
       if (turn > 5 && g_rand_int_range (r, 0, 3) == 0)
         some_trouble (sim);
       if (sim->users->len && g_rand_int_range (r, 0, 6) == 0)
         sim_cancel (g_ptr_array_index (sim->users, g_rand_int_range (r, 0, (gint)sim->users->len)));
+      if (versions)
+        draw_versions (sim);
+      if (limits && turn == 30)
+        {
+          sim->settings->value_bytes = NEXT_VALUE_BYTES;
+          sim->settings->txn_ops = NEXT_TXN_OPS;
+        }
       for (guint i = 0; i < SIM_NODES; i++)
         if (g_rand_boolean (r))
           sim_start_node (sim, i);
@@ -218,5 +267,11 @@
       g_autofree char *path = g_strdup_printf ("/random/%u", seed);
       g_test_add_data_func (path, GUINT_TO_POINTER (seed), test_day);
     }
+  n = extra ? n : VERSIONS_DAYS;
+  for (guint seed = VERSIONS_SEED + 1; seed <= VERSIONS_SEED + n; seed++)
+    {
+      g_autofree char *path = g_strdup_printf ("/random/versions/%u", seed);
+      g_test_add_data_func (path, GUINT_TO_POINTER (seed), test_day);
+    }
   return g_test_run ();
 }
