--- a/tests/production-records.h
+++ b/tests/production-records.h
@@ -1,5 +1,5 @@
-/* Written by the version that deploy/service.toml names as production: job j-000412 of 40 tasks, 32
-   in a record, task 1 done, 0, 15 and 30 on vm-000231, 33 over; its final record; the rest. */
+/* Written by version 8a825855, before there were gangs: job j-000412 of 40 tasks, 32 in a record,
+   task 1 done, 0, 15 and 30 on vm-000231, 33 over; its final record; the rest. */
 #pragma once
 
 #include <glib.h>
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -2,6 +2,7 @@
    the byte as long as no gang is in it. */
 #include "core-private.h"
 #include "peer.h"
+#include "production-gang-records.h"
 #include "production-records.h"
 #include "steps.h"
 
@@ -146,6 +147,182 @@
   mh_peer_message_clear (&m);
 }
 
+/* ---- with gangs, and under the limits that come next ---- */
+
+typedef struct
+{
+  MhSettings *settings;
+  MhCore *core;
+  MhNow now;
+  MhMachine *machines[2];
+} Fixture;
+
+static void
+fixture_set_up (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  MhSettings *settings = fixture->settings = mh_settings_new ();
+  settings->value_bytes = 2048;
+  settings->state_rps = settings->state_write_rps = settings->cloud_rps = 100;
+  settings->cancel_us = 60 * MH_SECOND_US;
+  fixture->now = (MhNow){ .mono_us = 1000 * MH_SECOND_US, .wall_us = 1700000000 * MH_SECOND_US };
+  fixture->core = mh_core_new (settings, &fixture->now);
+  fixture->machines[0] = mh_fleet_add (fixture->core, "vm-000231", "g8", "b", false);
+  fixture->machines[1] = mh_fleet_add (fixture->core, "vm-000232", "g8", "b", false);
+}
+
+static void
+fixture_tear_down (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  mh_core_free (fixture->core);
+  mh_settings_free (fixture->settings);
+}
+
+/* The job as a leader of this version takes it over. */
+static MhJob *
+fixture_job (const Fixture *fixture, MhValue *stored, const char *id, bool *cancelled)
+{
+  gint64 submitted_us;
+  guint chunk;
+  MhJobSpec *spec = mh_record_read_job (stored, id, &submitted_us, &chunk, cancelled);
+  g_assert_nonnull (spec);
+  g_assert_cmpint (submitted_us, ==, fixture->now.wall_us);
+  return mh_job_new (spec, chunk, fixture->settings->value_bytes, submitted_us, &fixture->now);
+}
+
+typedef struct
+{
+  Fixture *fixture;
+  MhJob *job;
+} Loading;
+
+static void
+load_stored_task (gpointer data, guint index, guint32 attempt, const char *machine)
+{
+  Loading *loading = data;
+  MhTask *task = &loading->job->tasks[index];
+  if (machine && strcmp (machine, "?") != 0)
+    {
+      MhMachine *on = mh_fleet_machine (loading->fixture->core, machine);
+      mh_fleet_attempt_new (loading->fixture->core, loading->job, index, attempt, on);
+    }
+  else
+    *task = (MhTask){ .attempt = attempt, .state = machine ? MH_TASK_PENDING : MH_TASK_DONE };
+}
+
+static void
+load_tasks (Fixture *fixture, MhJob *job, const MhValue *stored)
+{
+  Loading loading = { .fixture = fixture, .job = job };
+  g_assert_true (mh_record_read_tasks (stored, load_stored_task, &loading));
+}
+
+static void
+forget_job (Fixture *fixture, MhJob *job)
+{
+  for (guint i = 0; i < job->spec->tasks; i++)
+    if (job->tasks[i].live)
+      mh_fleet_attempt_forget (fixture->core, job->tasks[i].live);
+  mh_job_free (job);
+}
+
+static void
+test_gang_record (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  bool cancelled;
+  MhUserAnswer answer;
+  g_autoptr (MhValue) stored = LOAD (production_gang), done = LOAD (production_gang_done);
+  g_autoptr (MhValue) final = LOAD (production_gang_final);
+  MhJob *job = fixture_job (fixture, stored, "j-000500", &cancelled);
+  g_assert_false (cancelled);
+  g_assert_cmpint (job->spec->shape, ==, MH_SHAPE_GANG);
+  g_assert_true (job->spec->one_zone);
+  g_assert_cmpint (job->spec->checkpoint_us, ==, 20 * MH_SECOND_US);
+  load_tasks (fixture, job, stored);
+  g_assert_cmpuint (job->n_live, ==, 4);
+  g_assert_cmpuint (job->tasks[3].attempt, ==, 3);
+  g_assert_true (job->tasks[3].live->machine == fixture->machines[1]);
+  ASSERT_WRITTEN (mh_record_write (&job->records[0], "1000001.40"), production_gang);
+
+  for (guint i = 0; i < 4; i++)
+    mh_fleet_attempt_forget (fixture->core, job->tasks[i].live);
+  load_tasks (fixture, job, done);
+  for (guint i = 0; i < 4; i++)
+    g_assert_cmpuint (job->tasks[i].state, ==, MH_TASK_DONE);
+  job->n_done = 4;
+  ASSERT_WRITTEN (mh_record_write (&job->records[0], "1000001.41"), production_gang_done);
+  ASSERT_WRITTEN (mh_record_write_final (job, "1000001.42"), production_gang_final);
+  g_assert_true (mh_record_read_final (final, &answer));
+  g_assert_cmpint (answer.state, ==, MH_JOB_DONE);
+  g_assert_cmpuint (answer.done, ==, 4);
+  forget_job (fixture, job);
+}
+
+static void
+test_rechunked_records (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  bool cancelled;
+  g_autoptr (MhValue) first = LOAD (production_rechunked_0), second = LOAD (production_rechunked_1);
+  MhJob *job = fixture_job (fixture, first, "j-000501", &cancelled);
+  g_assert_cmpuint (job->n_records, ==, 2);
+  load_tasks (fixture, job, first);
+  load_tasks (fixture, job, second);
+  g_assert_cmpuint (job->n_live, ==, 2);
+  g_assert_nonnull (job->tasks[59].live);
+  g_assert_cmpuint (job->tasks[30].attempt, ==, 5);
+  g_assert_cmpuint (job->tasks[31].state, ==, MH_TASK_DONE);
+  ASSERT_WRITTEN (mh_record_write (&job->records[0], "1000001.43"), production_rechunked_0);
+  ASSERT_WRITTEN (mh_record_write (&job->records[1], "1000001.43"), production_rechunked_1);
+  g_autofree char *key = mh_record_key ("j-000501", 1);
+  g_assert_cmpstr (key, ==, "t/j-000501/00001");
+  forget_job (fixture, job);
+}
+
+static void
+test_gang_leadership (void)
+{
+  guint64 epoch, lease_id;
+  g_autofree char *node = NULL;
+  const char *names[] = { "vm-000233", NULL };
+  g_autoptr (MhValue) leader = LOAD (production_gang_leader);
+  ASSERT_WRITTEN (mh_record_write_leader ("worker-2", 1000001, 9), production_gang_leader);
+  ASSERT_WRITTEN (mh_record_write_epoch (2000000), production_gang_epoch);
+  ASSERT_WRITTEN (mh_record_write_release ((char **)names), production_gang_release);
+  g_assert_true (mh_record_read_leader (leader, &node, &epoch, &lease_id));
+  g_assert_cmpuint (lease_id, ==, 9);
+}
+
+static void
+test_gang_messages (void)
+{
+  MhPeerMessage message = {};
+  const MhUserAnswer answer = { .status = 201, .state = MH_JOB_RUNNING, .running = 4 };
+  g_autoptr (GBytes) body = g_bytes_new_static ("body", 4);
+  assert_message (mh_peer_write_call (43, MH_USER_SUBMIT, "j-000500", body), production_gang_submit,
+                  sizeof production_gang_submit, &message);
+  g_assert_cmpint (message.verb, ==, MH_USER_SUBMIT);
+  mh_peer_message_clear (&message);
+  assert_message (mh_peer_write_call (44, MH_USER_STATUS, "j-000500", NULL), production_gang_status,
+                  sizeof production_gang_status, &message);
+  g_assert_cmpint (message.verb, ==, MH_USER_STATUS);
+  mh_peer_message_clear (&message);
+  assert_message (mh_peer_write_call (45, MH_USER_CANCEL, "j-000500", NULL), production_gang_cancel,
+                  sizeof production_gang_cancel, &message);
+  g_assert_cmpint (message.verb, ==, MH_USER_CANCEL);
+  mh_peer_message_clear (&message);
+  assert_message (mh_peer_write_answer (43, &answer), production_gang_answer,
+                  sizeof production_gang_answer, &message);
+  g_assert_cmpuint (message.answer.running, ==, 4);
+  mh_peer_message_clear (&message);
+  assert_message (mh_peer_write_announcement ("worker-2", 1000001), production_gang_announcement,
+                  sizeof production_gang_announcement, &message);
+  g_assert_cmpstr (message.job, ==, "worker-2");
+  mh_peer_message_clear (&message);
+}
+
 /* Controllers that write large records and such that write small ones lead in turn, in any order,
    until only those are left; then the state service takes no more. */
 static void
@@ -195,5 +372,11 @@
   g_test_add_func ("/upgrade/records-are-the-same", test_records_are_the_same);
   g_test_add_func ("/upgrade/messages-are-the-same", test_messages_are_the_same);
   g_test_add_func ("/upgrade/versions-change-places", test_versions_change_places);
+  g_test_add ("/upgrade/gang-record", Fixture, NULL, fixture_set_up, test_gang_record,
+              fixture_tear_down);
+  g_test_add ("/upgrade/rechunked-records", Fixture, NULL, fixture_set_up, test_rechunked_records,
+              fixture_tear_down);
+  g_test_add_func ("/upgrade/gang-leadership", test_gang_leadership);
+  g_test_add_func ("/upgrade/gang-messages", test_gang_messages);
   return g_test_run ();
 }
