--- a/src/core.c
+++ b/src/core.c
@@ -348,7 +348,7 @@
       if (status == 422)
         {
           /* An accepted job is never refused later, whatever the settings have become. */
-          mh_store_lookup (core, id, spec->id, MH_USER_SUBMIT, true);
+          mh_lookup_job (core, id, spec->id, MH_USER_SUBMIT, true);
           mh_job_spec_free (spec);
           return;
         }
@@ -411,7 +411,7 @@
          is told so without a leader too, unless it was accepted once. */
       else if (!forwarded && core->leader.phase < MH_PHASE_LOAD
                && (verb == MH_USER_STATUS || (spec && judge (core, spec) == 422)))
-        mh_store_lookup (core, id, job_id, verb, false);
+        mh_lookup_job (core, id, job_id, verb, false);
       else
         mh_core_answer (core, id, 503, 1);
       mh_job_spec_free (spec);
@@ -430,7 +430,7 @@
   /* Perhaps one that was over long ago and is submitted again: its final record tells, however long
      the write that would find out has to wait. */
   else if (job && !job->accepted)
-    mh_store_lookup (core, id, job_id, verb, true);
+    mh_lookup_job (core, id, job_id, verb, true);
   else if (job && verb == MH_USER_STATUS)
     mh_core_answer_job (core, id, job, 200);
   else if (job)
@@ -438,7 +438,7 @@
   else if (final)
     mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
   else
-    mh_store_lookup (core, id, job_id, verb, true);
+    mh_lookup_job (core, id, job_id, verb, true);
   mh_core_step (core);
 }
 
--- a/src/leader.c
+++ b/src/leader.c
@@ -197,7 +197,7 @@
   core->scale.rentals = 0;
   mh_info (core, "leading with epoch %" G_GUINT64_FORMAT "; loading records",
            core->leader.own_epoch);
-  mh_store_load (core);
+  mh_load_records (core);
 }
 
 static void
--- /dev/null
+++ b/src/load.h
@@ -0,0 +1,8 @@
+/* Reload: a new leader reads the records of its predecessors, of either version. */
+#pragma once
+
+#include "core-types.h"
+
+/* Ends in mh_leader_loaded. */
+void
+mh_load_records (MhCore *core);
--- a/src/store.c
+++ b/src/store.c
@@ -1,5 +1,5 @@
 /* Durable records: batched writes, each conditional on the leader's key and on the record's own
-   version; reload by a new leader; reads for users who ask about jobs that are not in memory. */
+   version. */
 #include "core-private.h"
 
 #include <string.h>
@@ -10,7 +10,6 @@
 #define TXNS_FOR_USERS 6u
 /* Below the 64 KiB that one transaction may have, counted in JSON. */
 #define TXN_BYTES (56u * 1024u)
-#define PAGE 400u
 /* Of the burst of changes. */
 #define KEPT_FOR_USERS 0.4
 /* Chunks dropped with a job's final record; the rest is dropped as garbage. */
@@ -56,8 +55,8 @@
                 txn_unref);
 }
 
-static void
-enqueue (MhCore *core, MhRecord *r, guint urgency)
+void
+mh_store_enqueue (MhCore *core, MhRecord *r, guint urgency)
 {
   if (r->queued && r->urgency <= urgency)
     return;
@@ -84,7 +83,7 @@
   if (r->writing)
     r->again = MIN (r->again, urgency);
   else
-    enqueue (core, r, urgency);
+    mh_store_enqueue (core, r, urgency);
 }
 
 void
@@ -153,77 +152,6 @@
   return MIN (job->n_records - 1, MIN (DROPS_WITH_FINAL, core->settings->txn_ops - 2));
 }
 
-/* ---- re-chunking ----
-
-   A job that was written in larger records than are taken now, or will be from some unknown moment,
-   is written in smaller ones before anything else of it is. The new records that replace no old one
-   go first. Nobody looks at those: the first record still tells of the old layout. Then the first
-   one and those in the place of old ones go in one transaction, and from then on the new layout
-   holds. Until then nothing of the job counts as on record that was not before: no start is
-   ordered, no result cleared, no cancellation confirmed. What is known of a task is read wherever
-   it stands, first found first taken, so that a leader that ends in between leaves nothing that
-   misleads. */
-
-/* Those that go together with the first; more old ones than a transaction takes are replaced one by
-   one, from the last. */
-static guint
-rechunked_together (const MhCore *core, const MhJob *job)
-{
-  return MIN (job->unchunked_records, core->settings->txn_ops);
-}
-
-static bool
-may_rechunk (const MhCore *core, const MhRecord *r)
-{
-  const MhJob *job = r->job;
-  guint first = rechunked_together (core, job);
-  if (r->rechunked_rev || (r->chunk && r->chunk < first))
-    return false;
-  /* One in the place of an old one: what that held must be in the others, and durable. */
-  for (guint i = r->chunk < job->unchunked_records ? MAX (r->chunk + 1, first) : job->n_records;
-       i < job->n_records; i++)
-    if (job->records[i].rechunked_rev == 0)
-      return false;
-  return true;
-}
-
-static void
-rechunked (MhCore *core, MhJob *job)
-{
-  mh_info (core, "job %s: laid out anew in %u records", job->spec->id, job->n_records);
-  job->unchunked_records = 0;
-  for (guint i = 0; i < job->n_records; i++)
-    {
-      MhRecord *r = &job->records[i];
-      r->durable = MAX (r->durable, r->rechunked_rev);
-      if (r->rev > r->durable && !r->writing)
-        enqueue (core, r, MH_URGENCY_START);
-    }
-  for (guint i = 0; i < job->spec->tasks; i++)
-    if (job->tasks[i].live)
-      mh_fleet_send_commands (core, job->tasks[i].live->machine);
-}
-
-static bool
-has_attempts (const MhJob *job, guint chunk)
-{
-  guint end = MIN ((chunk + 1) * job->chunk, job->spec->tasks);
-  for (guint i = chunk * job->chunk; i < end; i++)
-    if (job->tasks[i].attempt)
-      return true;
-  return false;
-}
-
-static void
-rechunk (MhCore *core, MhJob *job)
-{
-  for (guint i = 0; i < job->n_records; i++)
-    if (i < job->unchunked_records || has_attempts (job, i))
-      mh_store_touch (core, &job->records[i], MH_URGENCY_START);
-    else
-      job->records[i].rechunked_rev = 1; /* below every rev that is given from now on */
-}
-
 static const char *
 shape_name (MhShape shape)
 {
@@ -241,7 +169,7 @@
   if (job->unchunked_records && r->chunk && !w->final)
     return; /* counts once the first record says so */
   if (job->unchunked_records && !w->final)
-    rechunked (core, job);
+    mh_rechunk_finished (core, job);
   r->durable = w->rev;
   /* What was waiting for this to be on record may be ordered now. */
   guint end = MIN ((r->chunk + 1) * job->chunk, job->spec->tasks);
@@ -279,7 +207,7 @@
       return;
     }
   if (r->rev > r->durable)
-    enqueue (core, r, r->again);
+    mh_store_enqueue (core, r, r->again);
   r->again = MH_URGENCY_PROGRESS;
 }
 
@@ -372,7 +300,7 @@
     {
       MhRecord *r = g_array_index (t->writes, Write, i).record;
       if (!r->writing)
-        enqueue (core, r, MH_URGENCY_START);
+        mh_store_enqueue (core, r, MH_URGENCY_START);
     }
 }
 
@@ -456,7 +384,7 @@
   if (r->writing)
     return false;
   if (!r->job->finished)
-    return r->job->unchunked_records == 0 || may_rechunk (core, r);
+    return r->job->unchunked_records == 0 || mh_rechunk_may_write (core, r);
   /* The final record ends all others: it waits until none of them is on its way. */
   if (r->chunk != 0)
     return false;
@@ -520,7 +448,7 @@
   MhJob *job = r->job;
   guint drops = job->finished ? drops_with_final (core, job) : 0;
   bool first = job->unchunked_records && !job->finished && r->chunk == 0;
-  guint need = job->finished ? 2 + drops : first ? rechunked_together (core, job) : 1;
+  guint need = job->finished ? 2 + drops : first ? mh_rechunk_companions (core, job) : 1;
   if (b->changes->len > 0 && b->changes->len + need > b->most)
     return false;
   MhValue *v
@@ -551,7 +479,7 @@
   g_array_append_val (b->txn->writes, w);
   r->writing = true;
   r->again = MH_URGENCY_PROGRESS;
-  for (guint i = 1; first && i < rechunked_together (core, job); i++)
+  for (guint i = 1; first && i < mh_rechunk_companions (core, job); i++)
     add_companion (b, &job->records[i]);
   return true;
 }
@@ -647,280 +575,3 @@
       mh_core_flush (core);
     }
 }
-
-/* ---- reload ---- */
-
-typedef struct
-{
-  const char *prefix;
-  char *after;
-} Page;
-
-static void
-page_free (gpointer data)
-{
-  g_free (((Page *)data)->after);
-  g_free (data);
-}
-
-static void
-load_task (gpointer data, guint index, guint32 attempt, const char *machine)
-{
-  gpointer *pair = data;
-  MhCore *core = pair[0];
-  MhJob *job = pair[1];
-  if (index >= job->spec->tasks || job->tasks[index].attempt)
-    return;
-  MhTask *t = &job->tasks[index];
-  t->attempt = attempt;
-  if (machine == NULL)
-    {
-      t->state = MH_TASK_DONE;
-      job->n_done++;
-    }
-  else if (strcmp (machine, "?") != 0)
-    {
-      MhMachine *m = mh_fleet_machine (core, machine);
-      if (m == NULL)
-        m = mh_fleet_add (core, machine, NULL, NULL, false);
-      mh_fleet_attempt_new (core, job, index, attempt, m)->loaded = true;
-    }
-}
-
-/* A job whose record is not understood is neither unknown nor without tasks: its users are told to
-   come again, and what runs of it is left alone. */
-static void
-not_understood (MhCore *core, const char *key, const char *id)
-{
-  mh_core_log (core, G_LOG_LEVEL_CRITICAL, "record %s cannot be read; its job is left alone", key);
-  g_hash_table_add (core->unreadable, g_strdup (id));
-  MhJob *job = g_hash_table_lookup (core->jobs, id);
-  for (guint i = 0; job && i < job->spec->tasks; i++)
-    if (job->tasks[i].live)
-      mh_fleet_attempt_forget (core, job->tasks[i].live);
-  g_hash_table_remove (core->jobs, id);
-}
-
-static void
-load_entry (MhCore *core, const MhEntry *e)
-{
-  MhJob *job;
-  guint chunk = 0;
-  if (g_str_has_prefix (e->key, MH_RECORD_RELEASES))
-    {
-      mh_release_load (core, e);
-      return;
-    }
-  if (g_str_has_prefix (e->key, "j/"))
-    {
-      gint64 at;
-      guint per_record;
-      bool cancelled;
-      MhJobSpec *spec = mh_record_read_job (e->value, e->key + 2, &at, &per_record, &cancelled);
-      if (spec == NULL)
-        {
-          not_understood (core, e->key, e->key + 2);
-          return;
-        }
-      guint fits = mh_job_chunk (spec, core->settings->value_bytes);
-      guint old = per_record > fits && fits ? (spec->tasks + per_record - 1) / per_record : 0;
-      job = mh_job_new (spec, old ? fits : per_record, core->settings->value_bytes, at, &core->now);
-      job->unchunked_records = old;
-      job->accepted = true;
-      job->cancelled = job->cancel_durable = cancelled;
-      g_hash_table_insert (core->jobs, job->spec->id, job);
-    }
-  else
-    {
-      g_auto (GStrv) parts = g_strsplit (e->key, "/", 3);
-      if (parts[0] && parts[1] && g_hash_table_contains (core->unreadable, parts[1]))
-        return;
-      job = g_strv_length (parts) == 3 ? g_hash_table_lookup (core->jobs, parts[1]) : NULL;
-      guint64 n = job ? g_ascii_strtoull (parts[2], NULL, 10) : 0;
-      if (job == NULL || n == 0 || n >= job->n_records)
-        {
-          mh_store_drop (core, e->key);
-          return;
-        }
-      chunk = (guint)n;
-    }
-  job->records[chunk].version = e->version;
-  gpointer pair[] = { core, job };
-  if (!mh_record_read_tasks (e->value, load_task, pair))
-    not_understood (core, e->key, job->spec->id);
-}
-
-static void
-load_page (MhCore *core, const char *prefix, char *after);
-
-static void
-load_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
-{
-  Page *page = data;
-  bool more;
-  guint64 revision;
-  g_autoptr (GPtrArray) entries
-      = status == 200 ? mh_wire_read_entries (body, &more, &revision) : NULL;
-  if (entries == NULL)
-    {
-      core->state_pause_us = core->now.mono_us + 50000 + (gint64)(core->now.jitter * 50000);
-      load_page (core, page->prefix, g_strdup (page->after));
-      return;
-    }
-  for (guint i = 0; i < entries->len; i++)
-    load_entry (core, g_ptr_array_index (entries, i));
-  if (more && entries->len)
-    {
-      MhEntry *last = g_ptr_array_index (entries, entries->len - 1);
-      load_page (core, page->prefix, g_strdup (last->key));
-    }
-  else if (strcmp (page->prefix, "j/") == 0)
-    load_page (core, "t/", NULL);
-  else if (strcmp (page->prefix, "t/") == 0)
-    load_page (core, MH_RECORD_RELEASES, NULL);
-  else
-    {
-      GHashTableIter it;
-      gpointer job;
-      g_hash_table_iter_init (&it, core->jobs);
-      while (g_hash_table_iter_next (&it, NULL, &job))
-        if (((MhJob *)job)->unchunked_records)
-          rechunk (core, job);
-      mh_leader_loaded (core);
-    }
-}
-
-static void
-load_page (MhCore *core, const char *prefix, char *after)
-{
-  Page *page = g_new0 (Page, 1);
-  page->prefix = prefix;
-  page->after = after;
-  mh_core_call (core, MH_RANK_RULES, mh_wire_list (prefix, after, PAGE), 0, 2 * CALL_TIMEOUT_US,
-                load_reply, page, page_free);
-}
-
-void
-mh_store_load (MhCore *core)
-{
-  load_page (core, "j/", NULL);
-}
-
-/* ---- reads for users ---- */
-
-/* Without a leader: the running record, then the final one (a job moves from the first to the
-   second and never back), and at last the leader's key. Only if that is absent may the answer be
-   given: a leader that holds it may not know yet that its own last write was carried out, and would
-   tell the same user something older. In charge, only the final record is left to read. */
-typedef enum
-{
-  READ_RUNNING,
-  READ_FINAL,
-  READ_LEADER
-} Stage;
-
-typedef struct
-{
-  MhCore *core;
-  guint64 id;
-  char *job;
-  MhUserVerb verb;
-  Stage stage;
-  bool in_charge;
-  MhUserAnswer found; /* to be given if there is no leader */
-  bool settled;       /* answered, or another lookup will */
-} Lookup;
-
-static void
-lookup_free (gpointer data)
-{
-  Lookup *l = data;
-  /* Calls are forgotten at the end of a leadership, but not who waits for them. */
-  if (!l->settled)
-    mh_core_answer (l->core, l->id, 503, 1);
-  g_free (l->job);
-  g_free (l);
-}
-
-static void
-lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body);
-
-static void
-lookup_send (const Lookup *from, Stage stage)
-{
-  Lookup *l = g_memdup2 (from, sizeof *from);
-  l->job = g_strdup (from->job);
-  l->stage = stage;
-  l->settled = false;
-  g_autofree char *key = stage == READ_LEADER
-                             ? g_strdup ("leader")
-                             : g_strconcat (stage == READ_FINAL ? "f/" : "j/", l->job, NULL);
-  mh_core_call (l->core, l->verb == MH_USER_CANCEL ? MH_RANK_RULES : MH_RANK_STRANGER,
-                mh_wire_get (key), 0, CALL_TIMEOUT_US, lookup_reply, l, lookup_free);
-}
-
-static void
-lookup_answer (Lookup *l, const MhUserAnswer *a)
-{
-  l->settled = true;
-  mh_core_act (l->core, MH_ACTION_ANSWER_USER, l->id)->answer = *a;
-}
-
-/* What the record says, or 404; false when nothing can be told. */
-static bool
-read_found (Lookup *l, guint status, const MhEntry *e)
-{
-  gint64 at;
-  bool cancelled;
-  if (status == 404)
-    {
-      l->found = (MhUserAnswer){ .status = l->verb == MH_USER_SUBMIT ? 422 : 404 };
-      return true;
-    }
-  if (e == NULL)
-    return false;
-  if (l->stage == READ_FINAL)
-    return mh_record_read_final (e->value, &l->found);
-  guint chunk;
-  g_autoptr (MhJobSpec) spec = mh_record_read_job (e->value, l->job, &at, &chunk, &cancelled);
-  l->found
-      = (MhUserAnswer){ .status = 200, .state = cancelled ? MH_JOB_CANCELLED : MH_JOB_PENDING };
-  return spec != NULL;
-}
-
-static void
-lookup_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
-{
-  Lookup *l = data;
-  if (l->stage == READ_LEADER)
-    {
-      if (status == 404)
-        lookup_answer (l, &l->found);
-      return;
-    }
-  MhEntry *e = status == 200 ? mh_wire_read_entry (body) : NULL;
-  bool found = read_found (l, status, e);
-  mh_entry_free (e);
-  if (!found)
-    return;
-  if (l->in_charge)
-    {
-      /* "Never heard of it" rests on memory too: the leader must still be one, and not be about to
-         accept the job. */
-      if (status == 200 || (mh_leader_valid (core) && !g_hash_table_contains (core->jobs, l->job)))
-        lookup_answer (l, &l->found);
-      if (status == 200)
-        mh_core_final (core, l->job, &l->found);
-      return;
-    }
-  l->settled = true;
-  lookup_send (l, status == 404 && l->stage == READ_RUNNING ? READ_FINAL : READ_LEADER);
-}
-
-void
-mh_store_lookup (MhCore *core, guint64 id, const char *job, MhUserVerb verb, bool in_charge)
-{
-  const Lookup l
-      = { .core = core, .id = id, .job = (char *)job, .verb = verb, .in_charge = in_charge };
-  lookup_send (&l, in_charge ? READ_FINAL : READ_RUNNING);
-}
--- a/src/store.h
+++ b/src/store.h
@@ -1,4 +1,8 @@
-/* Durable records: batched conditional writes, reload by a new leader, look-ups for users. */
+/* Durable records: batched conditional writes.
+
+   Every transaction is conditional on the leader's key and on the versions of the records that it
+   replaces. One without an answer is sent again, the same; a tag in the record then tells whether
+   the first copy was carried out. */
 #pragma once
 
 #include "job.h"
@@ -11,20 +15,17 @@
   MH_URGENCY_PROGRESS
 } MhUrgency;
 #define MH_URGENCIES 3
+
+/* The record differs from what is stored. */
 void
 mh_store_touch (MhCore *core, MhRecord *record, MhUrgency urgency);
+/* The record is to be written, whether or not it has changed. */
+void
+mh_store_enqueue (MhCore *core, MhRecord *record, guint urgency);
 /* The key is of no use any more. */
 void
 mh_store_drop (MhCore *core, const char *key);
 void
 mh_store_step (MhCore *core);
 void
-mh_store_load (MhCore *core); /* ends in mh_leader_loaded */
-void
 mh_store_clear (MhCore *core);
-/* `in_charge`: a leader with a valid lease has looked in memory, and only the final record is left
-   to read. A leader whose lease had lapsed once said "never heard of it" of unfinished jobs,
-   because the phase alone was asked. */
-void
-mh_store_lookup (MhCore *core, guint64 request_id, const char *job, MhUserVerb verb,
-                 bool in_charge);
