--- a/src/core-private.h
+++ b/src/core-private.h
@@ -88,7 +88,12 @@
   GQueue finals_order;
   GQueue dirty[MH_URGENCIES]; /* MhRecord */
   GQueue garbage;             /* keys to drop */
-  guint txns;                 /* in flight */
+  struct
+  {
+    bool lowered; /* the state service was found to hold to its next rate of changes */
+    bool durable, writing;
+  } limits;   /* on record, so that no later leader has to find out */
+  guint txns; /* in flight */
   guint64 rev;
   GHashTable *machines;    /* name -> MhMachine */
   GHashTable *returned;    /* names of machines that are gone */
@@ -139,9 +144,12 @@
 /* Forgets all calls; replies that still come are ignored. */
 void
 mh_core_drop_calls (MhCore *core);
-/* After a 429 for a change: the rate that was announced. */
+/* A call to the state service was not answered, or not carried out for now: further ones wait. */
+void
+mh_core_state_call_failed (MhCore *core, guint status);
+/* The rate of changes that was announced as the next one holds from now on. */
 void
-mh_core_slow_down (MhCore *core);
+mh_core_lower_write_rate (MhCore *core);
 void
 mh_core_answer (MhCore *core, guint64 id, guint status, guint retry_after_s);
 void
--- a/src/core.c
+++ b/src/core.c
@@ -13,6 +13,9 @@
 /* Of the rate of changes, and the burst; the others write a little too. */
 #define WRITE_SHARE 0.9
 #define WRITE_BURST_S 0.8
+/* After a call to the state service that failed. */
+#define STATE_PAUSE_US (MH_SECOND_US / 10)
+#define STATE_PAUSE_JITTER_US 150000
 /* A tick that comes so much too late was not held up by work. */
 #define STILL_US MH_SECOND_US
 
@@ -162,18 +165,29 @@
                        q);
 }
 
-/* The state service has just refused what the present rate allows: its next one holds. */
 void
-mh_core_slow_down (MhCore *core)
+mh_core_lower_write_rate (MhCore *core)
 {
   double next = core->settings->next_write_rps;
-  if (next <= 0 || core->write_bucket.rate <= next * WRITE_SHARE)
+  if (next <= 0 || core->limits.lowered)
+    return;
+  core->limits.lowered = true;
+  if (core->write_bucket.rate <= next * WRITE_SHARE)
     return;
   mh_info (core, "the state service takes fewer changes; from now on %.1f a second", next);
   mh_bucket_init (&core->write_bucket, next * WRITE_SHARE, next * WRITE_BURST_S, core->now.mono_us);
   mh_bucket_take (&core->write_bucket, core->write_bucket.burst);
 }
 
+void
+mh_core_state_call_failed (MhCore *core, guint status)
+{
+  if (status == 429)
+    mh_core_lower_write_rate (core);
+  core->state_pause_us
+      = core->now.mono_us + STATE_PAUSE_US + (gint64)(core->now.jitter * STATE_PAUSE_JITTER_US);
+}
+
 /* The highest rank first. The lease is renewed whatever the buckets say: its calls are few, and
    without it nothing else counts. Changes that have to wait hold up other changes, but not reads:
    else questions about finished jobs would go unanswered as long as there is much to write. */
--- a/src/job.h
+++ b/src/job.h
@@ -32,6 +32,8 @@
   guint urgency;         /* in which queue, while queued */
   guint again;           /* ... once it is written */
   bool queued, writing;
+  bool alone;              /* was refused with others: is to be written by itself */
+  gint64 refused_until_us; /* was refused by itself; not written before */
 };
 
 typedef struct
--- a/src/load.c
+++ b/src/load.c
@@ -57,6 +57,21 @@
   g_hash_table_remove (core->jobs, id);
 }
 
+/* An earlier leader found that the limits announced as next hold. Those of settings that were
+   changed since are not known to. */
+static void
+load_limits (MhCore *core, const MhEntry *e)
+{
+  double write_rps;
+  if (!mh_record_read_limits (e->value, &write_rps))
+    mh_core_log (core, G_LOG_LEVEL_CRITICAL, "record %s cannot be read", e->key);
+  else if (write_rps <= core->settings->next_write_rps)
+    {
+      core->limits.durable = true;
+      mh_core_lower_write_rate (core);
+    }
+}
+
 static void
 load_entry (MhCore *core, const MhEntry *e)
 {
@@ -67,6 +82,11 @@
       mh_release_load (core, e);
       return;
     }
+  if (strcmp (e->key, MH_RECORD_LIMITS) == 0)
+    {
+      load_limits (core, e);
+      return;
+    }
   if (g_str_has_prefix (e->key, "j/"))
     {
       gint64 at;
@@ -109,10 +129,23 @@
 static void
 load_page (MhCore *core, const char *prefix, char *after);
 
+/* What is read, in this order: a job before its further records. */
+static const char *const prefixes[] = { "j/", "t/", MH_RECORD_RELEASES, MH_RECORD_LIMITS, NULL };
+
+static const char *
+prefix_after (const char *prefix)
+{
+  guint i = 0;
+  while (strcmp (prefixes[i], prefix) != 0)
+    i++;
+  return prefixes[i + 1];
+}
+
 static void
 load_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
   Page *page = data;
+  const char *prefix;
   bool more;
   guint64 revision;
   g_autoptr (GPtrArray) entries
@@ -130,10 +163,8 @@
       MhEntry *last = g_ptr_array_index (entries, entries->len - 1);
       load_page (core, page->prefix, g_strdup (last->key));
     }
-  else if (strcmp (page->prefix, "j/") == 0)
-    load_page (core, "t/", NULL);
-  else if (strcmp (page->prefix, "t/") == 0)
-    load_page (core, MH_RECORD_RELEASES, NULL);
+  else if ((prefix = prefix_after (page->prefix)))
+    load_page (core, prefix, NULL);
   else
     {
       GHashTableIter it;
@@ -159,5 +190,5 @@
 void
 mh_load_records (MhCore *core)
 {
-  load_page (core, "j/", NULL);
+  load_page (core, prefixes[0], NULL);
 }
--- a/src/record.c
+++ b/src/record.c
@@ -1,6 +1,7 @@
 /* The stored form of jobs, of leadership and of machines that are being given back. Keys: leader,
    epoch, j/ID (job and its first tasks), t/ID/CHUNK (further tasks), f/ID (the final state, kept
-   for ever), r/EPOCH/N (names of machines). Short names, since values are limited. */
+   for ever), r/EPOCH/N (names of machines), limits (what the state service was found to take; the
+   version before this one never reads it). Short names, since values are limited. */
 #include "core-private.h"
 
 #include <string.h>
@@ -95,6 +96,20 @@
   return m;
 }
 
+MhValue *
+mh_record_write_limits (double write_rps)
+{
+  MhValue *m = mh_value_map ();
+  mh_value_set_number (m, "write_rps", write_rps);
+  return m;
+}
+
+bool
+mh_record_read_limits (const MhValue *v, double *write_rps)
+{
+  return mh_value_get_number (v, "write_rps", write_rps) && *write_rps > 0;
+}
+
 MhValue *
 mh_record_write_release (char **machines)
 {
--- a/src/record.h
+++ b/src/record.h
@@ -23,6 +23,12 @@
 mh_record_read_release (const MhValue *value); /* NULL: malformed */
 MhValue *
 mh_record_write_epoch (guint64 epoch);
+/* The changes a second that the state service was found to take at most. */
+#define MH_RECORD_LIMITS "limits"
+MhValue *
+mh_record_write_limits (double write_rps);
+bool
+mh_record_read_limits (const MhValue *value, double *write_rps);
 bool
 mh_record_read_leader (const MhValue *value, char **node, guint64 *epoch, guint64 *lease_id);
 bool
--- a/src/release.c
+++ b/src/release.c
@@ -135,9 +135,7 @@
     mh_leader_lost (core, "the state service calls a record malformed");
   else
     {
-      if (status == 429)
-        mh_core_slow_down (core);
-      core->state_pause_us = core->now.mono_us + 100000 + (gint64)(core->now.jitter * 150000);
+      mh_core_state_call_failed (core, status);
       write_down (core, p);
     }
 }
--- a/src/store.c
+++ b/src/store.c
@@ -10,10 +10,14 @@
 #define TXNS_FOR_USERS 6u
 /* Below the 64 KiB that one transaction may have, counted in JSON. */
 #define TXN_BYTES (56u * 1024u)
+/* Of a change and its conditions, beside the value. */
+#define OVERHEAD_BYTES 300u
 /* Of the burst of changes. */
 #define KEPT_FOR_USERS 0.4
 /* Chunks dropped with a job's final record; the rest is dropped as garbage. */
 #define DROPS_WITH_FINAL 6u
+/* A record that was refused as malformed is not tried again before. */
+#define REFUSED_RECORD_US (30 * MH_SECOND_US)
 
 typedef struct
 {
@@ -29,6 +33,7 @@
   char *first_key, *tag; /* tells whether an unanswered transaction was carried out */
   double changes;
   bool unknown; /* a copy may have been, or may yet be, carried out */
+  bool limits;  /* it carries the limits of the state service */
 } Txn;
 
 static void
@@ -99,6 +104,7 @@
     g_queue_clear (&core->dirty[i]);
   g_queue_clear_full (&core->garbage, g_free);
   core->txns = 0;
+  core->limits.durable = core->limits.writing = false;
 }
 
 /* ---- writing ---- */
@@ -149,6 +155,8 @@
 static guint
 drops_with_final (const MhCore *core, const MhJob *job)
 {
+  if (job->records[0].alone)
+    return 0;
   return MIN (job->n_records - 1, MIN (DROPS_WITH_FINAL, core->settings->txn_ops - 2));
 }
 
@@ -163,7 +171,7 @@
 {
   MhRecord *r = w->record;
   MhJob *job = r->job;
-  r->writing = false;
+  r->writing = r->alone = false;
   r->version = version;
   r->rechunked_rev = w->rev;
   if (job->unchunked_records && r->chunk && !w->final)
@@ -212,9 +220,18 @@
 }
 
 static void
-txn_applied (MhCore *core, Txn *t, guint64 version)
+txn_over (MhCore *core, const Txn *t)
 {
   core->txns--;
+  if (t->limits)
+    core->limits.writing = false;
+}
+
+static void
+txn_applied (MhCore *core, Txn *t, guint64 version)
+{
+  txn_over (core, t);
+  core->limits.durable |= t->limits;
   for (guint i = 0; i < t->writes->len; i++)
     write_done (core, &g_array_index (t->writes, Write, i), version);
 }
@@ -268,7 +285,7 @@
 static void
 txn_refused (MhCore *core, Txn *t, char **failed)
 {
-  core->txns--;
+  txn_over (core, t);
   for (guint i = 0; i < t->writes->len; i++)
     g_array_index (t->writes, Write, i).record->writing = false;
   bool explained = false;
@@ -344,6 +361,51 @@
   return false;
 }
 
+/* A submission that the state service will not keep is not accepted; a job that was accepted, under
+   other limits, stays as its records say. */
+static void
+record_refused (MhCore *core, const Txn *t, MhRecord *r)
+{
+  MhJob *job = r->job;
+  bool accepted = job->accepted || t->unknown;
+  mh_core_log (
+      core, G_LOG_LEVEL_CRITICAL,
+      "record %u of job %s: refused by the state service as malformed, perhaps too large%s",
+      r->chunk, job->spec->id, accepted ? "; tried again later" : "; not accepted");
+  for (guint i = 0; i < job->waiters->len; i++)
+    mh_core_answer (core, g_array_index (job->waiters, MhWaiter, i).id, 503,
+                    REFUSED_RECORD_US / MH_SECOND_US);
+  g_array_set_size (job->waiters, 0);
+  if (accepted)
+    {
+      r->refused_until_us = core->now.mono_us + REFUSED_RECORD_US;
+      mh_store_enqueue (core, r, MH_URGENCY_START);
+    }
+  else
+    g_hash_table_remove (core->jobs, job->spec->id);
+}
+
+/* 400: one of the values, or the whole, is more than the state service takes. Each record is tried
+   alone; what is refused then too must neither end the leadership, which would only meet it again,
+   nor be sent again at once. */
+static void
+txn_malformed (MhCore *core, Txn *t)
+{
+  txn_over (core, t);
+  for (guint i = 0; i < t->writes->len; i++)
+    {
+      MhRecord *r = g_array_index (t->writes, Write, i).record;
+      r->writing = false;
+      if (r->alone)
+        record_refused (core, t, r);
+      else
+        {
+          r->alone = true;
+          mh_store_enqueue (core, r, MH_URGENCY_START);
+        }
+    }
+}
+
 static void
 txn_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
 {
@@ -361,19 +423,13 @@
         txn_refused (core, t, failed);
     }
   else if (status == 400)
-    {
-      mh_core_log (core, G_LOG_LEVEL_CRITICAL, "the state service calls a transaction malformed");
-      mh_leader_lost (core, "a transaction was refused");
-      core->txns--;
-    }
+    txn_malformed (core, t);
   else
     {
       /* 429 and 503 say that it was not executed; anything else leaves it open. */
       if (status != 429 && status != 503)
         t->unknown = true;
-      if (status == 429)
-        mh_core_slow_down (core);
-      core->state_pause_us = core->now.mono_us + 100000 + (gint64)(core->now.jitter * 150000);
+      mh_core_state_call_failed (core, status);
       txn_send (core, t);
     }
 }
@@ -384,7 +440,8 @@
   if (r->writing)
     return false;
   if (!r->job->finished)
-    return r->job->unchunked_records == 0 || mh_rechunk_may_write (core, r);
+    return core->now.mono_us >= r->refused_until_us
+           && (r->job->unchunked_records == 0 || mh_rechunk_may_write (core, r));
   /* The final record ends all others: it waits until none of them is on its way. */
   if (r->chunk != 0)
     return false;
@@ -425,20 +482,28 @@
   g_array_append_val (b->changes, c);
 }
 
+/* The record is part of the transaction, which replaces what is stored under `key`. */
+static void
+add_write (Batch *b, MhRecord *r, const char *key, MhValue *value)
+{
+  MhJob *job = r->job;
+  g_ptr_array_add (b->values, value);
+  b->bytes += mh_value_json_size (value) + OVERHEAD_BYTES;
+  add_condition (b, key, r->version);
+  Write w = { .record = r, .rev = r->rev, .final = job->finished, .cancelled = job->cancelled };
+  g_array_append_val (b->txn->writes, w);
+  r->writing = true;
+  r->again = MH_URGENCY_PROGRESS;
+}
+
 /* One that replaces an old record, with the first of its job. */
 static void
 add_companion (Batch *b, MhRecord *r)
 {
   MhValue *v = mh_record_write (r, b->txn->tag);
-  g_ptr_array_add (b->values, v);
-  b->bytes += mh_value_json_size (v) + 300;
   const char *key = keep_key (b, mh_record_key (r->job->spec->id, r->chunk));
-  add_condition (b, key, r->version);
+  add_write (b, r, key, v);
   add_change (b, key, v);
-  Write w = { .record = r, .rev = r->rev };
-  g_array_append_val (b->txn->writes, w);
-  r->writing = true;
-  r->again = MH_URGENCY_PROGRESS;
 }
 
 /* False: it does not fit in this transaction any more. */
@@ -447,24 +512,22 @@
 {
   MhJob *job = r->job;
   guint drops = job->finished ? drops_with_final (core, job) : 0;
-  bool first = job->unchunked_records && !job->finished && r->chunk == 0;
-  guint need = job->finished ? 2 + drops : first ? mh_rechunk_companions (core, job) : 1;
-  if (b->changes->len > 0 && b->changes->len + need > b->most)
+  bool rechunks = job->unchunked_records && !job->finished && r->chunk == 0;
+  guint need = job->finished ? 2 + drops : rechunks ? mh_rechunk_companions (core, job) : 1;
+  bool empty = b->changes->len == 0;
+  if (!empty && (r->alone || b->changes->len + need > b->most))
     return false;
   MhValue *v
       = job->finished ? mh_record_write_final (job, b->txn->tag) : mh_record_write (r, b->txn->tag);
-  gsize size = mh_value_json_size (v) + 300;
-  if (b->changes->len > 0 && b->bytes + size > TXN_BYTES)
+  if (!empty && b->bytes + mh_value_json_size (v) + OVERHEAD_BYTES > TXN_BYTES)
     {
       mh_value_unref (v);
       return false;
     }
-  b->bytes += size;
-  g_ptr_array_add (b->values, v);
   const char *key = keep_key (b, mh_record_key (job->spec->id, r->chunk));
   const char *final = keep_key (b, g_strconcat ("f/", job->spec->id, NULL));
   const char *put = job->finished ? final : key;
-  add_condition (b, key, r->version);
+  add_write (b, r, key, v);
   add_change (b, put, v);
   if (b->txn->first_key == NULL)
     b->txn->first_key = g_strdup (put);
@@ -475,15 +538,23 @@
   for (guint i = 1; i <= drops; i++)
     if (job->records[i].version)
       add_change (b, keep_key (b, mh_record_key (job->spec->id, i)), NULL);
-  Write w = { .record = r, .rev = r->rev, .final = job->finished, .cancelled = job->cancelled };
-  g_array_append_val (b->txn->writes, w);
-  r->writing = true;
-  r->again = MH_URGENCY_PROGRESS;
-  for (guint i = 1; first && i < mh_rechunk_companions (core, job); i++)
+  for (guint i = 1; rechunks && i < mh_rechunk_companions (core, job); i++)
     add_companion (b, &job->records[i]);
   return true;
 }
 
+/* What was found of the state service's limits goes before whatever is written next. */
+static void
+add_limits (MhCore *core, Batch *b)
+{
+  if (!core->limits.lowered || core->limits.durable || core->limits.writing)
+    return;
+  MhValue *v = mh_record_write_limits (core->settings->next_write_rps);
+  g_ptr_array_add (b->values, v);
+  add_change (b, MH_RECORD_LIMITS, v);
+  core->limits.writing = b->txn->limits = true;
+}
+
 /* `most`: changes that the budget has. What a user waits for goes first, and progress waits as long
    as anything else takes the changes; what it waits it gathers. */
 static void
@@ -504,7 +575,8 @@
               .values = values,
               .most = most };
   add_condition (&b, "leader", core->leader.own_version);
-  bool full = false;
+  add_limits (core, &b);
+  bool full = false, alone = false;
   for (guint urgency = 0; urgency < MH_URGENCIES && !full; urgency++)
     {
       GList *next;
@@ -523,10 +595,11 @@
             }
           r->queued = false;
           g_queue_delete_link (&core->dirty[urgency], l);
-          full = changes->len >= most;
+          alone |= !needless && r->alone;
+          full = alone || changes->len >= most;
         }
     }
-  while (changes->len < most && core->garbage.length)
+  while (!alone && changes->len < most && core->garbage.length)
     add_change (&b, keep_key (&b, g_queue_pop_head (&core->garbage)), NULL);
   if (changes->len > 0)
     {
--- a/tests/test-random.c
+++ b/tests/test-random.c
@@ -114,6 +114,7 @@
 #define VERSIONS_DAYS 24u
 #define NEXT_VALUE_BYTES 2048u
 #define NEXT_TXN_OPS 5u
+#define NEXT_WRITE_RPS 15.0
 
 /* All begin with the version in production. The limits that come next are announced on every other
    of these days. */
@@ -127,6 +128,7 @@
         {
           sim->nodes[i].settings->value_bytes = NEXT_VALUE_BYTES;
           sim->nodes[i].settings->txn_ops = sim->nodes[i].settings->batch = NEXT_TXN_OPS;
+          sim->nodes[i].settings->next_write_rps = NEXT_WRITE_RPS;
         }
       sim_restart_node (sim, i, CONTROLLER_PRODUCTION, 0);
     }
@@ -207,6 +209,7 @@
         {
           sim->settings->value_bytes = NEXT_VALUE_BYTES;
           sim->settings->txn_ops = NEXT_TXN_OPS;
+          sim->world->write_rps = NEXT_WRITE_RPS;
         }
       for (guint i = 0; i < SIM_NODES; i++)
         if (g_rand_boolean (r))
--- a/tests/world.c
+++ b/tests/world.c
@@ -253,6 +253,24 @@
   return m;
 }
 
+/* Transactions whose conditions fail count as well. */
+static bool
+within_write_rate (World *w, gsize changes)
+{
+  if (w->write_rps <= 0)
+    return true;
+  double gained = w->write_rps * (double)(w->now_us - w->write_tokens_us) / MH_SECOND_US;
+  w->write_tokens = MIN (w->write_rps, w->write_tokens + gained);
+  w->write_tokens_us = w->now_us;
+  if (w->write_tokens < (double)changes)
+    {
+      w->writes_refused++;
+      return false;
+    }
+  w->write_tokens -= (double)changes;
+  return true;
+}
+
 static guint
 transact (World *w, const MhValue *body, MhValue **reply)
 {
@@ -262,8 +280,14 @@
       || mh_value_size (conditions) > 4 * w->settings->txn_ops || mh_value_json_size (body) > 65536)
     {
       mh_value_unref (failed);
+      w->writes_malformed++;
       return 400;
     }
+  if (!within_write_rate (w, mh_value_size (changes)))
+    {
+      mh_value_unref (failed);
+      return 429;
+    }
   bool fenced = false;
   for (gsize i = 0; i < mh_value_size (conditions); i++)
     {
@@ -289,6 +313,7 @@
               && mh_value_json_size (mh_value_get (c, "v")) > w->settings->value_bytes))
         {
           mh_value_unref (failed);
+          w->writes_malformed++;
           return 400;
         }
     }
--- a/tests/world.h
+++ b/tests/world.h
@@ -66,6 +66,10 @@
   GArray *history;
   GArray *watches;
   gint64 outage_until_us;
+  double write_rps, write_tokens; /* changes a second that it takes, bursts of one second; 0: any */
+  gint64 write_tokens_us;
+  guint writes_refused;   /* because of that */
+  guint writes_malformed; /* for their size */
   /* cloud */
   GPtrArray *machines; /* WorldMachine */
   GHashTable *rentals; /* name -> comma-separated machines */
