--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -170,12 +170,12 @@
   finish (sim);
 }
 
-/* A machine is lost, hangs or is cut off: the rest ends, and the next attempt begins when the whole
-   of the old one is proven gone. */
+/* A machine is lost, hangs, is cut off, sends no reports or gets no answers: the rest ends, and the
+   next attempt begins when the whole of the old one is proven gone. */
 static void
 test_machine_lost (void)
 {
-  for (guint how = 0; how < 4; how++)
+  for (guint how = 0; how < 5; how++)
     {
       Sim *sim = sim_new (6 + how);
       for (guint i = 0; i < 6; i++)
@@ -193,13 +193,196 @@
         w->machine->hung_until_us = sim->now_us + 100 * MH_SECOND_US;
       else if (how == 2)
         w->cut_us = sim->now_us + 60 * MH_SECOND_US;
-      else
+      else if (how == 3)
         w->mute_us = sim->now_us + 60 * MH_SECOND_US;
+      else
+        w->deaf_us = sim->now_us + 60 * MH_SECOND_US;
       WAIT (sim, 200, told_done, u);
       finish (sim);
     }
 }
 
+static SimUser *
+gang_on_small_machines (Sim *sim, guint machines, double run_s)
+{
+  sim->world->capacity = 0;
+  for (guint i = 0; i < machines; i++)
+    world_add_machine (sim->world, "small", "a", false);
+  MhJobSpec *spec = gang_spec (1, 4, 2);
+  spec->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+  return sim_submit (sim, spec, run_s);
+}
+
+/* Its workers give up before its last image is there: that is an end like others, and the next
+   attempt has the image. */
+static void
+test_incomplete (void)
+{
+  Sim *sim = sim_new (14);
+  sim->settings->gang_wait_us = 4 * MH_SECOND_US; /* the workers', not the controllers' */
+  SimUser *u = gang_on_small_machines (sim, 2, 5);
+  for (guint i = 0; i < 400 && worker_of (sim, "j-000001/3") == NULL; i++)
+    sim_run (sim, 0.05);
+  WorldMachine *late = worker_of (sim, "j-000001/3")->machine;
+  for (guint i = 0; i < late->tasks->len; i++)
+    g_array_index (late->tasks, WorldTask, i).ready_us += 8 * MH_SECOND_US;
+  WAIT (sim, 60, told_done, u);
+  g_assert_true (sim_logged (sim, "did not come in time"));
+  finish (sim);
+}
+
+/* It fails on every machine: the attempts come ever more slowly, other work goes on, and its user
+   can cancel it. */
+static void
+test_fails_everywhere (void)
+{
+  Sim *sim = sim_new (15);
+  SimUser *u = gang_on_small_machines (sim, 4, 20);
+  SimUser *other = running_service (sim, 2, 1);
+  WAIT (sim, 60, accepted, u);
+  guint starts = sim->world->starts;
+  for (guint second = 0; second < 60; second++)
+    {
+      for (guint i = 0; i < sim->world->machines->len; i++)
+        {
+          const WorldMachine *machine = g_ptr_array_index (sim->world->machines, i);
+          for (guint k = 0; k < machine->tasks->len; k++)
+            {
+              WorldTask *task = &g_array_index (machine->tasks, WorldTask, k);
+              if (task->index != 1 || task->phase != MH_TASK_RUNNING
+                  || strcmp (task->job, "j-000001") != 0)
+                continue;
+              task->phase = MH_TASK_ENDED;
+              task->cause = "error";
+            }
+        }
+      sim_run (sim, 1);
+    }
+  g_assert_true (sim_logged (sim, "next start in"));
+  g_assert_cmpuint (sim->world->starts - starts, <=, 4 * 8);
+  g_assert_cmpuint (world_running (sim->world, other->job->spec->id), ==, 1);
+  sim_cancel (u);
+  WAIT (sim, 10, told_cancelled, u);
+  sim_run (sim, 42);
+  g_assert_cmpuint (world_running (sim->world, "j-000001"), ==, 0);
+  finish (sim);
+}
+
+/* Direct starts of an attempt that was given up arrive while the next one runs. */
+static void
+test_late_start_of_an_old_attempt (void)
+{
+  Sim *sim = sim_new (16);
+  sim->keep_requests = true;
+  SimUser *u = gang_on_small_machines (sim, 5, 25);
+  WAIT (sim, 60, runs, u);
+  world_fail (worker_of (sim, "j-000001/0")->machine);
+  sim_run (sim, 1);
+  for (guint i = 0; i < 600 && u->job->running_attempt < 2; i++)
+    sim_run (sim, 0.1);
+  g_assert_cmpuint (u->job->running_attempt, ==, 2);
+  sim->keep_requests = false;
+  g_assert_cmpuint (sim->kept->len, >, 0);
+  for (guint i = sim->kept->len; i-- > 0;)
+    if (!sim_is_command (sim, i))
+      g_ptr_array_remove_index (sim->kept, i);
+  sim_repeat_requests (sim);
+  sim_run (sim, 2);
+  g_assert_cmpuint (u->job->running_attempt, ==, 2);
+  WAIT (sim, 60, told_done, u);
+  finish (sim);
+}
+
+/* A report from the time of an attempt that was given up comes while the next one runs, also to a
+   leader that has just begun. */
+static void
+test_late_report_of_an_old_attempt (void)
+{
+  for (guint new_leader = 0; new_leader < 2; new_leader++)
+    {
+      Sim *sim = sim_new (17 + new_leader);
+      SimUser *u = gang_on_small_machines (sim, 5, 25);
+      WAIT (sim, 60, runs, u);
+      g_autoptr (MhValue) old = world_report (sim->world, worker_of (sim, "j-000001/3")->machine);
+      world_fail (worker_of (sim, "j-000001/0")->machine);
+      for (guint i = 0; i < 600 && u->job->running_attempt != 2; i++)
+        sim_run (sim, 0.1);
+      g_assert_cmpuint (u->job->running_attempt, ==, 2);
+      if (new_leader)
+        {
+          sim_stop_node (sim, sim_leader (sim)->index);
+          WAIT (sim, 10, has_leader, NULL);
+        }
+      for (guint i = 0; i < SIM_NODES; i++)
+        if (sim->nodes[i].controller)
+          sim_late_report (sim, &sim->nodes[i], old);
+      sim_run (sim, 3);
+      g_assert_cmpuint (u->job->running_attempt, ==, 2);
+      WAIT (sim, 60, told_done, u);
+      finish (sim);
+    }
+}
+
+/* A gang is stopped while one of its machines cannot be told: the log says why progress is given
+   up. */
+static void
+test_stopped_while_one_cannot_be_told (void)
+{
+  Sim *sim = sim_new (19);
+  SimUser *u = gang_on_small_machines (sim, 2, 40);
+  WAIT (sim, 60, runs, u);
+  SimWorker *cut = worker_of (sim, "j-000001/0");
+  cut->cut_us = sim->now_us + 7 * MH_SECOND_US;
+  sim_run (sim, 5);
+  SimUser *urgent = sim_submit (sim, sim_spec (2, MH_SHAPE_SERVICE, 1, 4), 0);
+  sim_run (sim, 1);
+  g_assert_true (sim_logged (sim, "cannot be told at once"));
+  WAIT (sim, 60, all_run, urgent);
+  sim_cancel (urgent);
+  sim->world->capacity = 12;
+  WAIT (sim, 120, told_done, u);
+  finish (sim);
+}
+
+/* All its tasks have ended, and nothing of that is on record: nobody is told that it is done. */
+static void
+test_done_only_on_record (void)
+{
+  Sim *sim = sim_new (20);
+  SimUser *u = gang_on_small_machines (sim, 2, 8);
+  WAIT (sim, 60, runs, u);
+  SimNode *leader = sim_leader (sim);
+  leader->writes_lost_us = sim->now_us + 25 * MH_SECOND_US;
+  WAIT (sim, 15, all_done, u);
+  sim_run (sim, 6);
+  g_assert_false (u->told_done);
+  sim_stop_node (sim, leader->index);
+  WAIT (sim, 30, told_done, u);
+  g_assert_cmpuint (sim->world->starts, ==, 4);
+  finish (sim);
+}
+
+/* What can never run is refused without a leader too; what cannot be decided is not. */
+static void
+test_refusals_without_a_leader (void)
+{
+  Sim *sim = sim_new (21);
+  MhUserAnswer answer;
+  sim_run (sim, 5);
+  guint last = (sim_leader (sim)->index + 1) % SIM_NODES;
+  sim->nodes[last].writes_lost_us = sim->now_us + 60 * MH_SECOND_US;
+  for (guint i = 0; i < SIM_NODES; i++)
+    if (i != last)
+      sim_stop_node (sim, i);
+  sim_run (sim, 3);
+  g_assert_null (sim_leader (sim));
+  g_assert_cmpuint (sim_ask (sim, last, MH_USER_SUBMIT, "j-000001", gang_spec (1, 17, 1), &answer),
+                    ==, 422);
+  g_assert_cmpuint (sim_ask (sim, last, MH_USER_SUBMIT, "j-000002", gang_spec (2, 16, 1), &answer),
+                    ==, 503);
+  finish (sim);
+}
+
 /* A task fails on a faulty machine. */
 static void
 test_task_fails (void)
@@ -393,6 +576,13 @@
   ADD ("two-gangs", test_two_gangs);
   ADD ("on-record-first", test_on_record_first);
   ADD ("machine-lost", test_machine_lost);
+  ADD ("incomplete", test_incomplete);
+  ADD ("fails-everywhere", test_fails_everywhere);
+  ADD ("late-start-of-an-old-attempt", test_late_start_of_an_old_attempt);
+  ADD ("late-report-of-an-old-attempt", test_late_report_of_an_old_attempt);
+  ADD ("stopped-while-one-cannot-be-told", test_stopped_while_one_cannot_be_told);
+  ADD ("done-only-on-record", test_done_only_on_record);
+  ADD ("refusals-without-a-leader", test_refusals_without_a_leader);
   ADD ("task-fails", test_task_fails);
   ADD ("leaders-change", test_leaders_change);
   ADD ("cancel", test_cancel);
