--- a/src/gang.c
+++ b/src/gang.c
@@ -238,6 +238,7 @@
   guint slots[N_ROOMS];
   guint taken;
   gint64 wait_us;
+  double cost; /* of a task there, where room has to be made; see weigh() */
 } Site;
 
 typedef struct
@@ -272,6 +273,15 @@
   return strcmp (x->machine->name, y->machine->name);
 }
 
+static gint
+by_cost (gconstpointer a, gconstpointer b)
+{
+  const Site *x = a, *y = b;
+  if (x->cost != y->cost)
+    return x->cost < y->cost ? -1 : 1;
+  return by_site (a, b);
+}
+
 static void
 look (Search *f, const GPtrArray *usable)
 {
@@ -296,58 +306,101 @@
   g_array_sort (f->sites, by_site);
 }
 
+/* What tasks of the gang were given, and what that means for it. */
+typedef struct
+{
+  guint tasks;
+  gint64 last_us; /* the last image comes then */
+  double cost;
+} Taken;
+
 /* Takes room for as many tasks as there is in the zone (NULL: in all), at most half in one zone
    where the gang is scattered. The first image and the last must come within what the workers wait.
  */
-static guint
-take (Search *f, const char *zone, Room room, gint64 *last_us)
+static Taken
+take (Search *f, const char *zone, Room room)
 {
   const MhJobSpec *s = f->job->spec;
-  guint taken = 0, most = s->scatter ? (s->tasks + 1) / 2 : s->tasks;
+  guint most = s->scatter ? (s->tasks + 1) / 2 : s->tasks;
   g_autofree guint *in_zone = g_new0 (guint, f->zones->len + 1);
-  gint64 first = -1, apart = (gint64)((double)f->core->settings->gang_wait_us * APART_SHARE);
-  *last_us = 0;
+  gint64 first = G_MAXINT64,
+         apart = (gint64)((double)f->core->settings->gang_wait_us * APART_SHARE);
+  Taken taken = { 0 };
   for (guint i = 0; i < f->sites->len; i++)
     {
       Site *site = &g_array_index (f->sites, Site, i);
       guint z = 0;
       site->taken = 0;
-      if ((zone && site->machine->zone != zone) || site->slots[room] == 0 || taken == s->tasks
-          || (first >= 0 && site->wait_us - first > apart))
+      if ((zone && site->machine->zone != zone) || site->slots[room] == 0
+          || taken.tasks == s->tasks)
+        continue;
+      if (taken.tasks && MAX (taken.last_us, site->wait_us) - MIN (first, site->wait_us) > apart)
         continue;
       g_ptr_array_find (f->zones, site->machine->zone, &z);
-      site->taken = MIN (MIN (site->slots[room], s->tasks - taken), most - in_zone[z]);
+      site->taken = MIN (MIN (site->slots[room], s->tasks - taken.tasks), most - in_zone[z]);
       if (site->taken == 0)
         continue;
       in_zone[z] += site->taken;
-      taken += site->taken;
-      first = first < 0 ? site->wait_us : first;
-      *last_us = MAX (*last_us, site->wait_us);
+      taken.tasks += site->taken;
+      taken.cost += site->cost * site->taken;
+      first = MIN (first, site->wait_us);
+      taken.last_us = MAX (taken.last_us, site->wait_us);
     }
   return taken;
 }
 
+static bool
+better (Room room, const Taken *a, const Taken *b)
+{
+  if (room == ROOM_MADE && a->cost != b->cost)
+    return a->cost < b->cost;
+  return a->last_us < b->last_us;
+}
+
 /* The best zone in which all tasks have room of that kind, taken; false: there is none. */
 static bool
 take_best (Search *f, Room room, const char **best_zone)
 {
-  gint64 last, best_last = G_MAXINT64;
+  Taken best = { 0 };
   bool found = false;
   guint groups = f->job->spec->one_zone ? f->zones->len : MIN (f->zones->len, 1);
   for (guint i = 0; i < groups; i++)
     {
       const char *zone = f->job->spec->one_zone ? g_ptr_array_index (f->zones, i) : NULL;
-      if (take (f, zone, room, &last) < f->job->spec->tasks || last >= best_last)
+      Taken taken = take (f, zone, room);
+      if (taken.tasks < f->job->spec->tasks || (found && !better (room, &taken, &best)))
         continue;
-      best_last = last;
+      best = taken;
       *best_zone = zone;
       found = true;
     }
   if (found)
-    take (f, *best_zone, room, &last);
+    take (f, *best_zone, room);
   return found;
 }
 
+/* Where room has to be made, what is lost counts, and the wait for the image as work of the gang
+   itself. By the image alone, long runs of arrays were stopped while others beside them had just
+   begun, and one task that has to run again makes its whole array late. */
+static void
+weigh (Search *f)
+{
+  const MhJobSpec *s = f->job->spec;
+  double urgency = mh_place_loss (s, 1);
+  g_autoptr (GPtrArray) victims = g_ptr_array_new ();
+  for (guint i = 0; i < f->sites->len; i++)
+    {
+      Site *site = &g_array_index (f->sites, Site, i);
+      guint n = MIN (site->slots[ROOM_MADE], s->tasks);
+      if (n == 0)
+        continue;
+      MhSpace could, soon = mh_place_space (f->job, site->machine, &could);
+      double loss = mh_place_victims (f->core, f->job, site->machine, soon, n, victims);
+      site->cost = loss / n + urgency * (double)site->wait_us / MH_SECOND_US;
+    }
+  g_array_sort (f->sites, by_cost);
+}
+
 static void
 start (Search *f)
 {
@@ -377,27 +430,37 @@
     }
 }
 
-/* Stops lesser work for as many tasks as the taken sites have no room for. */
 static void
+stop_victims (Search *f, const Site *site, GPtrArray *victims)
+{
+  MhSpace could, soon = mh_place_space (f->job, site->machine, &could);
+  mh_place_victims (f->core, f->job, site->machine, soon, site->taken, victims);
+  for (guint i = 0; i < victims->len; i++)
+    {
+      MhAttempt *a = g_ptr_array_index (victims, i);
+      mh_info (f->core, "task %s/%u: stopped on %s to make room for gang %s", a->job->spec->id,
+               a->index, site->machine->name, f->job->spec->id);
+      mh_fleet_stop (f->core, a, mh_job_grace_us (a->job));
+    }
+}
+
+/* Stops lesser work for as many tasks as there is no room for. */
+static bool
 make_room (Search *f)
 {
-  const MhJobSpec *s = f->job->spec;
+  const char *zone;
+  weigh (f);
+  if (!take_best (f, ROOM_MADE, &zone))
+    return false;
   g_autoptr (GPtrArray) victims = g_ptr_array_new ();
   for (guint i = 0; i < f->sites->len; i++)
     {
       const Site *site = &g_array_index (f->sites, Site, i);
-      if (site->taken <= site->slots[ROOM_SOON])
-        continue;
-      MhSpace could, soon = mh_place_space (f->job, site->machine, &could);
-      mh_place_victims (f->core, f->job, site->machine, soon, site->taken, victims);
-      for (guint k = 0; k < victims->len; k++)
-        {
-          MhAttempt *a = g_ptr_array_index (victims, k);
-          mh_info (f->core, "task %s/%u: stopped on %s to make room for gang %s", a->job->spec->id,
-                   a->index, site->machine->name, s->id);
-          mh_fleet_stop (f->core, a, mh_job_grace_us (a->job));
-        }
+      if (site->taken > site->slots[ROOM_SOON])
+        stop_victims (f, site, victims);
     }
+  promise_taken (f);
+  return true;
 }
 
 /* Holds what is free where it has the most of it: machines come and fall free one by one, and each
@@ -405,13 +468,12 @@
 static void
 hold (Search *f)
 {
-  gint64 last;
   const char *best = NULL;
   guint most = 0;
   for (guint i = 0; i < f->zones->len; i++)
     {
       const char *zone = g_ptr_array_index (f->zones, i);
-      guint n = take (f, zone, ROOM_NOW, &last);
+      guint n = take (f, zone, ROOM_NOW).tasks;
       if (n > most)
         {
           most = n;
@@ -420,7 +482,7 @@
     }
   if (best == NULL)
     return;
-  f->job->held = take (f, best, ROOM_NOW, &last);
+  f->job->held = take (f, best, ROOM_NOW).tasks;
   f->job->held_zone = f->job->spec->one_zone ? best : NULL;
   promise_taken (f);
 }
@@ -448,12 +510,8 @@
     }
   else if (take_best (&f, ROOM_SOON, &zone))
     promise_taken (&f);
-  else if (may_preempt && take_best (&f, ROOM_MADE, &zone))
-    {
-      make_room (&f);
-      promise_taken (&f);
-      placed = MH_GANG_PREEMPTED;
-    }
+  else if (may_preempt && make_room (&f))
+    placed = MH_GANG_PREEMPTED;
   else if (job->starved || core->now.mono_us - job->wanted_us < HOLD_US)
     hold (&f);
   g_array_unref (f.sites);
--- a/src/place.c
+++ b/src/place.c
@@ -479,6 +479,12 @@
   return wants->guaranteed && strcmp (holds->spec->team, wants->spec->team) != 0;
 }
 
+double
+mh_place_loss (const MhJobSpec *s, double seconds)
+{
+  return s->cpus * seconds * (1 + RANK_LOSS * s->priority);
+}
+
 /* Work done again, by the cpu; that of higher rank counts more, else the same arrays are stopped
    time and again while lesser ones run. */
 static double
@@ -489,8 +495,8 @@
   /* One task of a gang costs the whole of it, which has to gather again, also one that has just
      begun: those once were stopped first, up to four times in a row. */
   if (mh_gang_is (a->job))
-    return s->tasks * s->cpus * (GATHERING_LOSS_S + ran) * (1 + RANK_LOSS * s->priority);
-  return s->cpus * (1 + ran) * (1 + RANK_LOSS * s->priority);
+    return s->tasks * mh_place_loss (s, GATHERING_LOSS_S + ran);
+  return mh_place_loss (s, 1 + ran);
 }
 
 static gint
--- a/src/place.h
+++ b/src/place.h
@@ -33,6 +33,9 @@
 double
 mh_place_victims (MhCore *core, const MhJob *wants, const MhMachine *machine, MhSpace x, guint n,
                   GPtrArray *victims);
+/* What is lost with work of the job done for so long, by one task: higher ranks count more. */
+double
+mh_place_loss (const MhJobSpec *spec, double seconds);
 /* Kept for `n` of these tasks in this pass. */
 void
 mh_place_promise (MhMachine *machine, const MhJobSpec *spec, guint n);
