--- a/tests/sim.c
+++ b/tests/sim.c
@@ -867,10 +867,9 @@
 }
 
 static void
-user_asks (Sim *sim, SimUser *u)
+user_asks_node (Sim *sim, SimUser *u, SimNode *n)
 {
   bool settled = u->told_done || u->told_cancelled;
-  SimNode *n = &sim->nodes[g_rand_int_range (sim->random, 0, SIM_NODES)];
   if (n->controller == NULL || n->frozen_us > sim->now_us)
     return; /* the user gives up soon */
   Origin *o = g_new0 (Origin, 1);
@@ -889,6 +888,19 @@
   node_drain (n);
 }
 
+static void
+user_asks (Sim *sim, SimUser *u)
+{
+  user_asks_node (sim, u, &sim->nodes[g_rand_int_range (sim->random, 0, SIM_NODES)]);
+}
+
+void
+sim_ask_all (Sim *sim, SimUser *u)
+{
+  for (guint i = 0; i < SIM_NODES; i++)
+    user_asks_node (sim, u, &sim->nodes[i]);
+}
+
 static void
 user_turn (Sim *sim, gpointer data)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -129,6 +129,9 @@
 sim_submit (Sim *sim, MhJobSpec *spec, double run_s);
 void
 sim_cancel (SimUser *user);
+/* The user asks every node at once, for what he would ask next. */
+void
+sim_ask_all (Sim *sim, SimUser *user);
 /* One request of its own; the answer's status, 0 when none came. */
 /* `answer` is filled when one comes; it must outlive that. */
 void
