--- a/src/place.c
+++ b/src/place.c
@@ -738,13 +738,22 @@
     }
 }
 
-/* Machines that have not reported yet may have room; running tasks end by themselves. */
+/* Running tasks end by themselves: what is not urgent gives them a part of the time that it has. A
+   gang that is urgent once did, and began three seconds later for it. */
+static bool
+waits_for_endings (const MhJobSpec *s)
+{
+  return s->shape == MH_SHAPE_ARRAY
+         || (s->shape == MH_SHAPE_GANG && s->priority < MH_PRIORITY_HIGH);
+}
+
+/* Machines that have not reported yet may have room. */
 static bool
 may_make_room (MhCore *core, const MhJob *job, gint64 patience)
 {
   if (!core->leader.rebuilt || (mh_queue_tier (job) == 3 && job->spec->priority <= MH_PRIORITY_LOW))
     return false;
-  if (job->spec->shape != MH_SHAPE_SERVICE && core->now.mono_us - job->wanted_us < patience / 3)
+  if (waits_for_endings (job->spec) && core->now.mono_us - job->wanted_us < patience / 3)
     {
       mh_core_wake_at (core, job->wanted_us + patience / 3);
       return false;
