--- a/src/gang.c
+++ b/src/gang.c
@@ -357,25 +357,28 @@
   return a->last_us < b->last_us;
 }
 
-/* The best zone in which all tasks have room of that kind, taken; false: there is none. */
+/* The best zone in which all tasks have room of that kind, taken. False: there is none, or none
+   where the last image comes within `wait_us`. */
 static bool
-take_best (Search *f, Room room, const char **best_zone)
+take_best (Search *f, Room room, gint64 wait_us)
 {
   Taken best = { 0 };
+  const char *best_zone = NULL;
   bool found = false;
   guint groups = f->job->spec->one_zone ? f->zones->len : MIN (f->zones->len, 1);
   for (guint i = 0; i < groups; i++)
     {
       const char *zone = f->job->spec->one_zone ? g_ptr_array_index (f->zones, i) : NULL;
       Taken taken = take (f, zone, room);
-      if (taken.tasks < f->job->spec->tasks || (found && !better (room, &taken, &best)))
+      if (taken.tasks < f->job->spec->tasks || taken.last_us > wait_us
+          || (found && !better (room, &taken, &best)))
         continue;
       best = taken;
-      *best_zone = zone;
+      best_zone = zone;
       found = true;
     }
   if (found)
-    take (f, *best_zone, room);
+    take (f, best_zone, room);
   return found;
 }
 
@@ -446,11 +449,10 @@
 
 /* Stops lesser work for as many tasks as there is no room for. */
 static bool
-make_room (Search *f)
+make_room (Search *f, gint64 wait_us)
 {
-  const char *zone;
   weigh (f);
-  if (!take_best (f, ROOM_MADE, &zone))
+  if (!take_best (f, ROOM_MADE, wait_us))
     return false;
   g_autoptr (GPtrArray) victims = g_ptr_array_new ();
   for (guint i = 0; i < f->sites->len; i++)
@@ -487,11 +489,55 @@
   promise_taken (f);
 }
 
+/* Room that is being made, or can be, where the last image comes within `wait_us`. */
+static bool
+wait_for_room (Search *f, bool may_preempt, gint64 wait_us, MhGangPlaced *placed)
+{
+  *placed = MH_GANG_WAITS;
+  if (take_best (f, ROOM_SOON, wait_us))
+    {
+      promise_taken (f);
+      return true;
+    }
+  if (!may_preempt || !make_room (f, wait_us))
+    return false;
+  *placed = MH_GANG_PREEMPTED;
+  return true;
+}
+
+static MhGangPlaced
+place (Search *f, bool may_preempt)
+{
+  MhJob *job = f->job;
+  MhGangPlaced placed;
+  /* Like a service, an urgent gang that would come too late by its image rather takes the room of
+     lesser work where the image is. */
+  gint64 patience = job->spec->priority >= MH_PRIORITY_HIGH
+                        ? MAX (mh_queue_patience_us (f->core, job), 0)
+                        : G_MAXINT64;
+  if (take_best (f, ROOM_NOW, patience))
+    {
+      start (f);
+      return MH_GANG_STARTED;
+    }
+  if (patience < G_MAXINT64 && wait_for_room (f, may_preempt, patience, &placed))
+    return placed;
+  if (take_best (f, ROOM_NOW, G_MAXINT64))
+    {
+      start (f);
+      return MH_GANG_STARTED;
+    }
+  if (wait_for_room (f, may_preempt, G_MAXINT64, &placed))
+    return placed;
+  if (job->starved || f->core->now.mono_us - job->wanted_us < HOLD_US)
+    hold (f);
+  return MH_GANG_WAITS;
+}
+
 MhGangPlaced
 mh_gang_place (MhCore *core, MhJob *job, const GPtrArray *usable, bool may_preempt)
 {
   const MhJobSpec *s = job->spec;
-  const char *zone = NULL;
   job->held = 0;
   job->held_zone = NULL;
   if (job->n_live || job->ending
@@ -501,19 +547,8 @@
                .job = job,
                .sites = g_array_new (FALSE, FALSE, sizeof (Site)),
                .zones = g_ptr_array_new () };
-  MhGangPlaced placed = MH_GANG_WAITS;
   look (&f, usable);
-  if (take_best (&f, ROOM_NOW, &zone))
-    {
-      start (&f);
-      placed = MH_GANG_STARTED;
-    }
-  else if (take_best (&f, ROOM_SOON, &zone))
-    promise_taken (&f);
-  else if (may_preempt && make_room (&f))
-    placed = MH_GANG_PREEMPTED;
-  else if (job->starved || core->now.mono_us - job->wanted_us < HOLD_US)
-    hold (&f);
+  MhGangPlaced placed = place (&f, may_preempt);
   g_array_unref (f.sites);
   g_ptr_array_unref (f.zones);
   return placed;
