--- a/src/queue.c
+++ b/src/queue.c
@@ -94,6 +94,23 @@
   return 0;
 }
 
+/* When the job has to be done so that it meets the objective; 0: it says nothing of that. A gang
+   whose tasks begin in time counts as one that is done a run later: by the aim for its end alone,
+   gangs waited behind arrays whose deadlines were nearer. */
+static gint64
+done_by (MhCore *core, const MhJob *job, const MhObjective *objective)
+{
+  const MhJobSpec *s = job->spec;
+  gint64 by = job->submitted_us + objective->within_us;
+  if (g_strcmp0 (objective->class_name, s->class_name) != 0)
+    return 0;
+  if (objective->kind == MH_OBJECTIVE_FINISHED)
+    return by;
+  if (objective->kind == MH_OBJECTIVE_WAIT && s->shape == MH_SHAPE_GANG)
+    return by + mh_queue_run_us (core, s);
+  return 0;
+}
+
 /* When the job's tasks should start at the latest, by its deadline or its class's aims, of which
    those count that can still be met. A job that can meet none goes behind those that can. */
 static gint64
@@ -107,10 +124,9 @@
   else
     for (guint i = 0; i < core->settings->objectives->len; i++)
       {
-        const MhObjective *o = g_ptr_array_index (core->settings->objectives, i);
-        if (o->kind != MH_OBJECTIVE_FINISHED || g_strcmp0 (o->class_name, s->class_name) != 0)
+        gint64 by = done_by (core, job, g_ptr_array_index (core->settings->objectives, i));
+        if (by == 0)
           continue;
-        gint64 by = job->submitted_us + o->within_us;
         last = MAX (last, by);
         if (by - needs >= now)
           at = MIN (at, by);
