--- a/src/shell.c
+++ b/src/shell.c
@@ -762,6 +762,19 @@
   pump (shell);
 }
 
+static void
+handle_body (Shell *shell, SoupServerMessage *m, MhRoute route)
+{
+  gsize size;
+  g_autoptr (GBytes) bytes = soup_message_body_flatten (soup_server_message_get_request_body (m));
+  const void *raw = g_bytes_get_data (bytes, &size);
+  g_autoptr (MhValue) body = mh_value_load (raw, size);
+  if (route == MH_ROUTE_SUBMIT)
+    handle_submit (shell, m, bytes, body);
+  else
+    handle_report (shell, m, body);
+}
+
 static void
 handle (SoupServer *server, SoupServerMessage *m, const char *path, GHashTable *query,
         gpointer data)
@@ -776,59 +789,24 @@
       respond (m, 413, NULL);
       return;
     }
-  g_auto (GStrv) parts = g_strsplit (path, "/", 5);
-  guint n = g_strv_length (parts);
-  const char *first = n > 1 ? parts[1] : "";
-  const char *want = NULL;
-  enum
-  {
-    NONE,
-    READY,
-    HELLO,
-    SUBMIT,
-    STATUS,
-    WITHDRAW
-  } what
-      = NONE;
-  if (n == 2 && strcmp (first, "ready") == 0)
-    what = READY, want = "GET";
-  else if (n == 2 && strcmp (first, "hello") == 0)
-    what = HELLO, want = "POST";
-  else if (n == 2 && strcmp (first, "submissions") == 0)
-    what = SUBMIT, want = "POST";
-  else if (n == 3 && strcmp (first, "submissions") == 0 && *parts[2])
-    what = STATUS, want = "GET";
-  else if (n == 4 && strcmp (first, "submissions") == 0 && strcmp (parts[3], "withdraw") == 0)
-    what = WITHDRAW, want = "POST";
-  if (what == NONE)
-    {
-      respond (m, 404, NULL);
-      return;
-    }
-  if (strcmp (method, want) != 0)
+  const char *allowed = NULL;
+  g_autofree char *job = NULL;
+  MhRoute route = mh_wire_route (path, &allowed, &job);
+  if (route == MH_ROUTE_NONE)
+    respond (m, 404, NULL);
+  else if (strcmp (method, allowed) != 0)
     {
-      soup_message_headers_replace (soup_server_message_get_response_headers (m), "Allow", want);
+      soup_message_headers_replace (soup_server_message_get_response_headers (m), "Allow", allowed);
       respond (m, 405, NULL);
-      return;
-    }
-  if (what == READY)
-    {
-      respond (m, mh_core_ready (shell->core) ? 200 : 503, NULL);
-      return;
-    }
-  if (what == STATUS || what == WITHDRAW)
-    {
-      handle_job (shell, m, what == STATUS ? MH_USER_STATUS : MH_USER_CANCEL, parts[2]);
-      return;
     }
-  g_autoptr (GBytes) bytes = soup_message_body_flatten (soup_server_message_get_request_body (m));
-  gsize size;
-  const void *raw = g_bytes_get_data (bytes, &size);
-  g_autoptr (MhValue) body = mh_value_load (raw, size);
-  if (what == SUBMIT)
-    handle_submit (shell, m, bytes, body);
+  else if (route == MH_ROUTE_READY)
+    respond (m, mh_core_ready (shell->core) ? 200 : 503, NULL);
+  else if (route == MH_ROUTE_STATUS)
+    handle_job (shell, m, MH_USER_STATUS, job);
+  else if (route == MH_ROUTE_CANCEL)
+    handle_job (shell, m, MH_USER_CANCEL, job);
   else
-    handle_report (shell, m, body);
+    handle_body (shell, m, route);
 }
 
 bool
--- a/src/types.h
+++ b/src/types.h
@@ -94,6 +94,8 @@
   GArray *tasks;    /* of MhReportTask */
 } MhReport;
 
+MhReport *
+mh_report_new (void);
 void
 mh_report_free (MhReport *report);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhReport, mh_report_free)
