--- a/src/failure-detection.c
+++ b/src/failure-detection.c
@@ -173,58 +173,87 @@
   return z == NULL || z->machines < LEAST_OF_ZONE || z->heard_us > m->probed_us;
 }
 
-void
-mh_failure_check (MhCore *core, MhMachine *m)
+/* Nothing comes from its whole zone: what runs there goes on until the worker's lease is over, and
+   nothing is gained by giving it back before. */
+static void
+check_in_partition (MhCore *core, MhMachine *m)
+{
+  if (mh_fleet_silence_us (core, m->heard_us) > core->settings->worker_lease_us + MH_SECOND_US)
+    mh_release_machine (core, m, "silent with all of its zone");
+}
+
+/* It answers, but its own reports reach nobody. What runs there goes on until its lease is over,
+   and what it is told directly after that it would only lose again. */
+static bool
+reports_are_lost (const MhCore *core, const MhMachine *m)
+{
+  return mh_fleet_silence_us (core, m->heard_us) < core->settings->silence_us
+         && mh_fleet_silence_us (core, m->last_report_us)
+                > core->settings->worker_lease_us + MH_SECOND_US;
+}
+
+/* Probes in vain are believed only while this side is not the one that is cut off. */
+static bool
+probed_in_vain (const MhCore *core, const MhMachine *m)
+{
+  return mh_failure_unreachable (m) && !core->patience.cut_off;
+}
+
+static void
+check_reported (MhCore *core, MhMachine *m)
 {
   const MhPatience *patience = &core->patience;
+  gint64 silent = mh_fleet_silence_us (core, m->heard_us);
+  bool overdue = mh_fleet_silence_us (core, m->last_report_us) > patience->report_us;
+  if (reports_are_lost (core, m))
+    mh_release_machine (core, m, "its reports do not come");
+  else if (probed_in_vain (core, m) && m->ignored_answers >= MH_MAX_IGNORED_ANSWERS)
+    mh_release_machine (core, m, "nothing reaches it");
+  else if (silent > patience->known_us
+           || (probed_in_vain (core, m) && others_heard (core, m) && overdue))
+    mh_release_machine (core, m, m->failed_probes ? "silent, and gives no answer" : "silent");
+  else if (m->ignored_answers
+           || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
+    ask (core, m);
+}
+
+/* Known from a record or the list, and not heard by this leader. A new leader does not wait for the
+   workers to find it, where it knows their address. */
+static void
+check_unseen (MhCore *core, MhMachine *m)
+{
+  const MhPatience *patience = &core->patience;
+  gint64 unseen = mh_fleet_silence_us (core, MAX (core->leader.since_us, m->known_us));
+  if (core->now.mono_us - m->unverified_us > SECOND_REPORT_US)
+    ask (core, m);
+  if (unseen > patience->unseen_us
+      || (probed_in_vain (core, m) && others_heard (core, m) && unseen > patience->report_us))
+    mh_release_machine (core, m, "silent since the change of leader");
+}
+
+static void
+check_booting (MhCore *core, MhMachine *m)
+{
   gint64 now = core->now.mono_us;
-  if (m->reported)
-    {
-      gint64 silent = mh_fleet_silence_us (core, m->heard_us);
-      /* What runs there goes on until the worker's lease is over; nothing is gained by giving it
-         back before. */
-      if (mh_failure_zone_partitioned (core, m->zone))
-        {
-          if (silent > core->settings->worker_lease_us + MH_SECOND_US)
-            mh_release_machine (core, m, "silent with all of its zone");
-          return;
-        }
-      /* It answers, but its own reports reach nobody. What runs there goes on until its lease is
-         over, and what it is told directly after that it would only lose again. */
-      if (silent < core->settings->silence_us
-          && mh_fleet_silence_us (core, m->last_report_us)
-                 > core->settings->worker_lease_us + MH_SECOND_US)
-        mh_release_machine (core, m, "its reports do not come");
-      else if (mh_failure_unreachable (m) && m->ignored_answers >= MH_MAX_IGNORED_ANSWERS
-               && !patience->cut_off)
-        mh_release_machine (core, m, "nothing reaches it");
-      else if (silent > patience->known_us
-               || (mh_failure_unreachable (m) && !patience->cut_off && others_heard (core, m)
-                   && mh_fleet_silence_us (core, m->last_report_us) > patience->report_us))
-        mh_release_machine (core, m, m->failed_probes ? "silent, and gives no answer" : "silent");
-      else if (m->ignored_answers
-               || silent > (m->replicas ? patience->replica_us : patience->suspect_us))
-        ask (core, m);
-      return;
-    }
-  if (m->attempts->len || m->running)
-    {
-      /* A new leader does not wait for the workers to find it, where it knows their address. */
-      if (now - m->unverified_us > SECOND_REPORT_US)
-        ask (core, m);
-      gint64 unseen = mh_fleet_silence_us (core, MAX (core->leader.since_us, m->known_us));
-      if (unseen > patience->unseen_us
-          || (mh_failure_unreachable (m) && !patience->cut_off && others_heard (core, m)
-              && unseen > patience->report_us))
-        mh_release_machine (core, m, "silent since the change of leader");
-      return;
-    }
   gint64 boot = m->type ? m->type->boot_us : 60 * MH_SECOND_US;
   if (now - m->rented_us > 3 * boot + 10 * MH_SECOND_US
       && now - core->leader.since_us > core->settings->report_us * 2 + 6 * MH_SECOND_US)
     mh_release_machine (core, m, "never came up");
 }
 
+void
+mh_failure_check (MhCore *core, MhMachine *m)
+{
+  if (m->reported && mh_failure_zone_partitioned (core, m->zone))
+    check_in_partition (core, m);
+  else if (m->reported)
+    check_reported (core, m);
+  else if (m->attempts->len || m->running)
+    check_unseen (core, m);
+  else
+    check_booting (core, m);
+}
+
 void
 mh_failure_survey (MhCore *core)
 {
--- a/src/settings.c
+++ b/src/settings.c
@@ -114,8 +114,8 @@
   return true;
 }
 
-bool
-mh_settings_check (MhSettings *s, GError **error)
+static bool
+check_names (const MhSettings *s, GError **error)
 {
   if (s->node == NULL || *s->node == '\0')
     return fail (error, "node_name is missing");
@@ -125,27 +125,39 @@
     return false;
   for (guint i = 0; i < s->members->len; i++)
     {
-      MhMember *m = g_ptr_array_index (s->members, i);
+      const MhMember *m = g_ptr_array_index (s->members, i);
       if (m->name == NULL || *m->name == '\0')
         return fail (error, "members[%u].node_name is missing", i);
       if (!check_address ("members.endpoint", m->endpoint, error))
         return false;
     }
+  return true;
+}
+
+static bool
+check_teams (const MhSettings *s, GError **error)
+{
   for (guint i = 0; i < s->teams->len; i++)
     {
-      MhTeam *t = g_ptr_array_index (s->teams, i);
+      const MhTeam *t = g_ptr_array_index (s->teams, i);
       if (t->name == NULL || *t->name == '\0')
         return fail (error, "settings.teams[%u].name is missing", i);
       if (!(t->cpus >= 0) || !(t->cpus_max >= 0) || !(t->gpus >= 0) || !(t->gpus_max >= 0))
         return fail (error, "team %s has a negative amount", t->name);
     }
+  return true;
+}
+
+static bool
+check_amounts (const MhSettings *s, GError **error)
+{
   const struct
   {
     const char *name;
     double value;
-  } positive[] = { { "settings.workers.report_s", s->report_us },
-                   { "settings.workers.lease_s", s->worker_lease_us },
-                   { "settings.workers.cancel_s", s->cancel_us },
+  } positive[] = { { "settings.workers.report_s", (double)s->report_us },
+                   { "settings.workers.lease_s", (double)s->worker_lease_us },
+                   { "settings.workers.cancel_s", (double)s->cancel_us },
                    { "settings.state.rps", s->state_rps },
                    { "settings.state.write_rps", s->state_write_rps },
                    { "settings.state.value_kb", s->value_bytes },
@@ -161,13 +173,27 @@
     return fail (error, "lease_s must be between 0.5 and 60");
   if (s->max_skew == 0)
     return fail (error, "max_skew must be at least 1");
-  /* Nobody is told when the next limits hold, and a new leader cannot know: what is written keeps
-     to the smaller sizes from the start. */
+  return true;
+}
+
+/* Nobody is told when the next limits hold, and a new leader cannot know: what is written keeps to
+   the smaller sizes from the start. */
+static void
+apply_next_limits (MhSettings *s)
+{
   if (s->next_value_bytes)
     s->value_bytes = MIN (s->value_bytes, s->next_value_bytes);
   if (s->next_txn_ops)
     s->txn_ops = MIN (s->txn_ops, s->next_txn_ops);
   s->batch = CLAMP (s->batch, 2, s->txn_ops);
+}
+
+bool
+mh_settings_check (MhSettings *s, GError **error)
+{
+  if (!check_names (s, error) || !check_teams (s, error) || !check_amounts (s, error))
+    return false;
+  apply_next_limits (s);
   /* Settings of before there were gangs name neither. */
   if (s->gang_wait_us == 0)
     s->gang_wait_us = 50 * MH_SECOND_US;
@@ -192,6 +218,84 @@
     }
 }
 
+static gint64
+get_time_us (cfg_t *cfg, const char *name)
+{
+  return (gint64)(cfg_getfloat (cfg, name) * MH_SECOND_US);
+}
+
+static bool
+is_set (cfg_t *cfg, const char *name)
+{
+  return cfg_size (cfg, name) > 0;
+}
+
+static bool
+get_count (cfg_t *cfg, const char *name, long least, guint *count, GError **error)
+{
+  if (!is_set (cfg, name))
+    return true;
+  if (cfg_getint (cfg, name) < least)
+    return fail (error, "%s must be at least %ld", name, least);
+  *count = (guint)cfg_getint (cfg, name);
+  return true;
+}
+
+/* Whether services are spread softly; unchanged where that is not said. */
+static bool
+get_soft (cfg_t *cfg, bool *soft, GError **error)
+{
+  const char *name = "when_unsatisfiable";
+  const char *when = is_set (cfg, name) ? cfg_getstr (cfg, name) : NULL;
+  if (when == NULL)
+    return true;
+  *soft = strcmp (when, "ScheduleAnyway") == 0;
+  if (!*soft && strcmp (when, "DoNotSchedule") != 0)
+    return fail (error, "when_unsatisfiable must be DoNotSchedule or ScheduleAnyway");
+  return true;
+}
+
+static bool
+read_spread (cfg_t *section, MhSettings *s, GError **error)
+{
+  long skew = cfg_getint (section, "max_skew");
+  bool soft = s->soft;
+  if (!get_soft (section, &soft, error))
+    return false;
+  if (skew < 0)
+    return fail (error, "max_skew must be at least 1");
+  MhSpreadRule *rule = g_new0 (MhSpreadRule, 1);
+  rule->class_name = g_strdup (cfg_title (section));
+  rule->max_skew = skew ? (guint)skew : s->max_skew;
+  rule->soft = soft;
+  g_ptr_array_add (s->spread, rule);
+  return true;
+}
+
+static bool
+read_values (cfg_t *cfg, MhSettings *s, GError **error)
+{
+  if (is_set (cfg, "lease_s"))
+    s->lease_us = get_time_us (cfg, "lease_s");
+  if (is_set (cfg, "silence_s"))
+    s->silence_us = get_time_us (cfg, "silence_s");
+  if (is_set (cfg, "idle_s"))
+    s->idle_us = get_time_us (cfg, "idle_s");
+  if (is_set (cfg, "direct"))
+    s->direct = cfg_getbool (cfg, "direct");
+  if (!get_count (cfg, "batch", 2, &s->batch, error)
+      || !get_count (cfg, "max_skew", 1, &s->max_skew, error))
+    return false;
+  if (s->idle_us < 0 || s->silence_us < 0)
+    return fail (error, "idle_s and silence_s must not be negative");
+  if (!get_soft (cfg, &s->soft, error))
+    return false;
+  for (guint i = 0; i < cfg_size (cfg, "spread"); i++)
+    if (!read_spread (cfg_getnsec (cfg, "spread", i), s, error))
+      return false;
+  return true;
+}
+
 static bool
 read_operator (const char *path, MhSettings *s, GError **error)
 {
@@ -209,65 +313,13 @@
   cfg_t *cfg = cfg_init (opts, CFGF_NONE);
   cfg_set_error_function (cfg, confuse_error);
   int rc = cfg_parse (cfg, path);
-  bool ok = rc == CFG_SUCCESS;
-  if (!ok)
+  bool ok = rc == CFG_SUCCESS && read_values (cfg, s, error);
+  if (rc != CFG_SUCCESS)
     fail (error, "operator settings %s: %s", path,
           rc == CFG_FILE_ERROR ? "cannot be read"
           : operator_problem   ? operator_problem
                                : "not understood");
   g_clear_pointer (&operator_problem, g_free);
-
-#define IF_SET(name) if (ok && cfg_size (cfg, name) > 0)
-  IF_SET ("lease_s") s->lease_us = (gint64)(cfg_getfloat (cfg, "lease_s") * MH_SECOND_US);
-  IF_SET ("silence_s") s->silence_us = (gint64)(cfg_getfloat (cfg, "silence_s") * MH_SECOND_US);
-  IF_SET ("idle_s") s->idle_us = (gint64)(cfg_getfloat (cfg, "idle_s") * MH_SECOND_US);
-  IF_SET ("direct") s->direct = cfg_getbool (cfg, "direct");
-  IF_SET ("batch")
-  {
-    if (cfg_getint (cfg, "batch") < 2)
-      ok = fail (error, "batch must be at least 2");
-    else
-      s->batch = (guint)cfg_getint (cfg, "batch");
-  }
-  IF_SET ("max_skew")
-  {
-    if (cfg_getint (cfg, "max_skew") < 1)
-      ok = fail (error, "max_skew must be at least 1");
-    else
-      s->max_skew = (guint)cfg_getint (cfg, "max_skew");
-  }
-#undef IF_SET
-  if (ok && (s->idle_us < 0 || s->silence_us < 0))
-    ok = fail (error, "idle_s and silence_s must not be negative");
-
-  for (int level = -1; ok && level < (int)cfg_size (cfg, "spread"); level++)
-    {
-      cfg_t *sec = level < 0 ? cfg : cfg_getnsec (cfg, "spread", level);
-      const char *when
-          = cfg_size (sec, "when_unsatisfiable") ? cfg_getstr (sec, "when_unsatisfiable") : NULL;
-      if (when && strcmp (when, "DoNotSchedule") != 0 && strcmp (when, "ScheduleAnyway") != 0)
-        {
-          ok = fail (error, "when_unsatisfiable must be DoNotSchedule or ScheduleAnyway");
-          break;
-        }
-      if (level < 0)
-        {
-          if (when)
-            s->soft = strcmp (when, "ScheduleAnyway") == 0;
-          continue;
-        }
-      long skew = cfg_getint (sec, "max_skew");
-      if (skew < 0)
-        {
-          ok = fail (error, "max_skew must be at least 1");
-          break;
-        }
-      MhSpreadRule *rule = g_new0 (MhSpreadRule, 1);
-      rule->class_name = g_strdup (cfg_title (sec));
-      rule->max_skew = skew ? (guint)skew : s->max_skew;
-      rule->soft = when ? strcmp (when, "ScheduleAnyway") == 0 : s->soft;
-      g_ptr_array_add (s->spread, rule);
-    }
   cfg_free (cfg);
   return ok;
 }
--- a/src/value.c
+++ b/src/value.c
@@ -13,80 +13,139 @@
     cbor_decref (&v);
 }
 
-/* Scans the head bytes only, so that a hostile body cannot make the library recurse or reserve
+/* ---- well-formed input ----
+
+   Scans the head bytes only, so that a hostile body cannot make the library recurse or reserve
    memory for a length that it does not carry. */
+
+#define BREAK 0xff
+
+typedef enum
+{
+  MAJOR_UNSIGNED,
+  MAJOR_NEGATIVE,
+  MAJOR_BYTES,
+  MAJOR_TEXT,
+  MAJOR_ARRAY,
+  MAJOR_MAP,
+  MAJOR_TAG,
+  MAJOR_SIMPLE
+} Major;
+
+typedef struct
+{
+  const guint8 *data;
+  gsize size, at;
+} Scan;
+
+typedef struct
+{
+  Major major;
+  guint64 argument;
+  bool open; /* of indefinite length: ends with a break */
+} Head;
+
 static bool
-well_formed (const guint8 *p, gsize size, gsize *at, guint depth)
+scan_head (Scan *scan, Head *head)
 {
-  if (depth > MAX_DEPTH || *at >= size)
+  if (scan->at >= scan->size)
+    return false;
+  guint8 first = scan->data[scan->at++];
+  guint info = first & 31;
+  *head = (Head){ .major = (Major)(first >> 5), .argument = info, .open = info == 31 };
+  if (info < 24 || info == 31)
+    return true;
+  if (info > 27)
+    return false;
+  guint length = 1u << (info - 24);
+  if (scan->size - scan->at < length)
     return false;
-  guint8 head = p[(*at)++];
-  guint major = head >> 5, info = head & 31;
-  guint64 n = info;
-  bool open = false;
-  if (info >= 24 && info <= 27)
+  head->argument = 0;
+  for (guint i = 0; i < length; i++)
+    head->argument = head->argument << 8 | scan->data[scan->at++];
+  return true;
+}
+
+static bool
+at_break (const Scan *scan)
+{
+  return scan->at < scan->size && scan->data[scan->at] == BREAK;
+}
+
+static bool
+scan_item (Scan *scan, guint depth);
+
+static bool
+scan_chunks (Scan *scan, Major major, guint depth)
+{
+  while (scan->at < scan->size && !at_break (scan))
     {
-      guint len = 1u << (info - 24);
-      if (size - *at < len)
+      guint8 next = scan->data[scan->at];
+      if (next >> 5 != major || (next & 31) == 31 || !scan_item (scan, depth + 1))
         return false;
-      n = 0;
-      for (guint i = 0; i < len; i++)
-        n = n << 8 | p[(*at)++];
     }
-  else if (info == 31)
-    open = true;
-  else if (info > 27)
+  return scan->at++ < scan->size;
+}
+
+static bool
+scan_open_items (Scan *scan, Major major, guint depth)
+{
+  guint items = 0;
+  for (; scan->at < scan->size && !at_break (scan); items++)
+    if (!scan_item (scan, depth + 1))
+      return false;
+  return scan->at++ < scan->size && (major == MAJOR_ARRAY || items % 2 == 0);
+}
+
+static bool
+scan_items (Scan *scan, guint64 count, guint depth)
+{
+  for (guint64 i = 0; i < count; i++)
+    if (!scan_item (scan, depth + 1))
+      return false;
+  return true;
+}
+
+static bool
+scan_item (Scan *scan, guint depth)
+{
+  Head head;
+  if (depth > MAX_DEPTH || !scan_head (scan, &head))
     return false;
-  switch (major)
+  switch (head.major)
     {
-    case 0:
-    case 1:
-      return !open;
-    case 2:
-    case 3:
-      if (open)
-        {
-          while (*at < size && p[*at] != 0xff)
-            if (p[*at] >> 5 != major || (p[*at] & 31) == 31
-                || !well_formed (p, size, at, depth + 1))
-              return false;
-          return *at < size && p[(*at)++] == 0xff;
-        }
-      if (size - *at < n)
+    case MAJOR_BYTES:
+    case MAJOR_TEXT:
+      if (head.open)
+        return scan_chunks (scan, head.major, depth);
+      if (scan->size - scan->at < head.argument)
         return false;
-      *at += n;
+      scan->at += head.argument;
       return true;
-    case 4:
-    case 5:
-      if (open)
-        {
-          guint items = 0;
-          while (*at < size && p[*at] != 0xff)
-            {
-              if (!well_formed (p, size, at, depth + 1))
-                return false;
-              items++;
-            }
-          return *at < size && p[(*at)++] == 0xff && (major == 4 || items % 2 == 0);
-        }
-      if (n > size)
-        return false;
-      for (guint64 i = 0; i < n * (major == 5 ? 2 : 1); i++)
-        if (!well_formed (p, size, at, depth + 1))
-          return false;
-      return true;
-    case 6:
-      return !open && well_formed (p, size, at, depth + 1);
+    case MAJOR_ARRAY:
+    case MAJOR_MAP:
+      if (head.open)
+        return scan_open_items (scan, head.major, depth);
+      return head.argument <= scan->size
+             && scan_items (scan, head.argument * (head.major == MAJOR_MAP ? 2 : 1), depth);
+    case MAJOR_TAG:
+      return !head.open && scan_item (scan, depth + 1);
     default:
-      return !open;
+      return !head.open;
     }
 }
 
+static bool
+well_formed (const void *data, gsize size)
+{
+  Scan scan = { .data = data, .size = size };
+  return scan_item (&scan, 0) && scan.at == size;
+}
+
 MhValue *
 mh_value_load (const void *data, gsize size)
 {
-  gsize at = 0;
-  if (data == NULL || !well_formed (data, size, &at, 0) || at != size)
+  if (data == NULL || !well_formed (data, size))
     return NULL;
   struct cbor_load_result result;
   cbor_item_t *item = cbor_load (data, size, &result);
@@ -275,6 +334,13 @@
   return true;
 }
 
+static void
+append_text (GString *s, const MhValue *text)
+{
+  g_string_append_len (s, (const char *)cbor_string_handle (text),
+                       (gssize)cbor_string_length (text));
+}
+
 char *
 mh_value_as_text (const MhValue *v)
 {
@@ -282,16 +348,12 @@
     return NULL;
   GString *s = g_string_new (NULL);
   if (cbor_string_is_definite (v))
-    g_string_append_len (s, (const char *)cbor_string_handle (v), cbor_string_length (v));
+    append_text (s, v);
   else
     for (gsize i = 0; i < cbor_string_chunk_count (v); i++)
-      {
-        cbor_item_t *chunk = cbor_string_chunks_handle (v)[i];
-        g_string_append_len (s, (const char *)cbor_string_handle (chunk),
-                             cbor_string_length (chunk));
-      }
+      append_text (s, cbor_string_chunks_handle (v)[i]);
   /* Text with a NUL inside would be cut short by C strings and mean something else. */
-  if (strlen (s->str) != s->len || !g_utf8_validate (s->str, s->len, NULL))
+  if (strlen (s->str) != s->len || !g_utf8_validate (s->str, (gssize)s->len, NULL))
     {
       g_string_free (s, TRUE);
       return NULL;
