--- a/src/core.c
+++ b/src/core.c
@@ -441,18 +441,16 @@
     }
   else if (verb == MH_USER_SUBMIT)
     submit (core, id, spec);
+  else if (job == NULL && final)
+    mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
   /* Perhaps one that was over long ago and is submitted again: its final record tells, however long
      the write that would find out has to wait. */
-  else if (job && !job->accepted)
+  else if (job == NULL || !job->accepted)
     mh_lookup_job (core, id, job_id, verb, true);
-  else if (job && verb == MH_USER_STATUS)
+  else if (verb == MH_USER_STATUS)
     mh_core_answer_job (core, id, job, 200);
-  else if (job)
-    cancel (core, id, job);
-  else if (final)
-    mh_core_act (core, MH_ACTION_ANSWER_USER, id)->answer = *final;
   else
-    mh_lookup_job (core, id, job_id, verb, true);
+    cancel (core, id, job);
   mh_core_step (core);
 }
 
--- a/src/scale.c
+++ b/src/scale.c
@@ -7,7 +7,10 @@
 #define TYPES_US (60 * MH_SECOND_US)
 #define LIST_US (5 * MH_SECOND_US)
 #define STEP_US (MH_SECOND_US / 2)
-#define REFUSED_US (15 * MH_SECOND_US)
+/* A kind of which there was none, or that was refused for another reason, is asked for again then.
+ */
+#define NO_CAPACITY_US (15 * MH_SECOND_US)
+#define REFUSED_US (2 * MH_SECOND_US)
 #define SUMMARY_US (10 * MH_SECOND_US)
 /* A machine is emptied when no more of it is in use, and the others would not be fuller than this.
    Replicas younger than this are left alone: a start that is undone at once is none. */
@@ -411,38 +414,51 @@
     }
 }
 
-/* The kind whose price for what `n` of these tasks would use is the lowest; among equals the zone
-   with the fewest machines. */
-static Room *
-choose (Plan *plan, const MhJob *job, const char *zone, guint n)
+/* What a slot of the kind costs an hour, filled with `n` of these tasks. More of the kind will
+   come: half a machine counts as filled sooner or later. */
+static double
+slot_price (const Kind *kind, const MhJobSpec *s, guint n)
 {
-  const MhJobSpec *s = job->spec;
-  double best_cost = G_MAXDOUBLE;
+  const MhMachineType *t = kind->type;
+  double by_cpus = s->cpus > 0 ? t->cpus / s->cpus : n;
+  double by_memory = s->mem_gb > 0 ? t->mem_gb / s->mem_gb : n;
+  double slots = (double)(guint)(MIN (by_cpus, by_memory) + 1e-6);
+  slots = MAX (1, MIN (slots, MAX (n, slots / 2)));
+  return (kind->spot ? t->spot_price * SPOT_RISK : t->price) / slots;
+}
+
+/* Among equals the zone with the fewest machines. */
+static const Kind *
+cheapest_kind (const Plan *plan, const MhJob *job, const char *zone, guint n)
+{
+  double best_price = G_MAXDOUBLE;
   const Kind *best = NULL;
   for (guint i = 0; i < plan->kinds->len; i++)
     {
-      const Kind *k = &g_array_index (plan->kinds, Kind, i);
-      const MhMachineType *t = k->type;
-      Room r = room_new (t, k->zone, k->spot);
+      const Kind *kind = &g_array_index (plan->kinds, Kind, i);
+      Room r = room_new (kind->type, kind->zone, kind->spot);
       if (!room_of_kind (&r, job, zone))
         continue;
-      double slots
-          = MIN (s->cpus > 0 ? t->cpus / s->cpus : n, s->mem_gb > 0 ? t->mem_gb / s->mem_gb : n);
-      slots = (double)(guint)(slots + 1e-6);
-      /* More of the kind will come: half a machine counts as filled sooner or later. */
-      slots = MAX (1, MIN (slots, MAX (n, slots / 2)));
-      double cost = (k->spot ? t->spot_price * SPOT_RISK : t->price) / slots;
-      if (best == NULL || cost < best_cost - 1e-9
-          || (cost < best_cost + 1e-9 && *k->load < *best->load))
+      double price = slot_price (kind, job->spec, n);
+      bool equal = price < best_price + 1e-9;
+      if (best == NULL || price < best_price - 1e-9 || (equal && *kind->load < *best->load))
         {
-          best_cost = cost;
-          best = k;
+          best_price = price;
+          best = kind;
         }
     }
-  if (best == NULL)
+  return best;
+}
+
+/* A machine that is wanted for these tasks; NULL: none can be had. */
+static Room *
+choose (Plan *plan, const MhJob *job, const char *zone, guint n)
+{
+  const Kind *kind = cheapest_kind (plan, job, zone, n);
+  if (kind == NULL)
     return NULL;
-  (*best->load)++;
-  Room r = room_new (best->type, best->zone, best->spot);
+  (*kind->load)++;
+  Room r = room_new (kind->type, kind->zone, kind->spot);
   r.wanted = true;
   g_array_append_val (plan->rooms, r);
   return &g_array_index (plan->rooms, Room, plan->rooms->len - 1);
@@ -469,36 +485,35 @@
 static void
 rent (MhCore *core, Rental *r);
 
+/* Not all that was asked for: the kind is not asked for again for a while. */
 static void
-rent_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+rental_refused (MhCore *core, const Rental *r, guint missing, bool no_capacity)
 {
-  Rental *r = data;
-  g_auto (GStrv) names = status == 200 ? mh_wire_read_rented (body) : NULL;
-  guint got = names ? g_strv_length (names) : 0;
-  if (status == 200 && names)
-    mh_info (core, "rented %u of %u %s%s in %s", got, r->count, r->spot ? "spot " : "", r->type,
-             r->zone);
+  gint64 *until = g_new (gint64, 1);
+  *until = core->now.mono_us + (no_capacity ? NO_CAPACITY_US : REFUSED_US);
+  g_hash_table_insert (core->scale.refused, kind_key (r->type, r->zone, r->spot), until);
+  mh_info (core, "renting %u %s%s in %s: %s", missing, r->spot ? "spot " : "", r->type, r->zone,
+           no_capacity ? "no capacity" : "refused");
+}
+
+static void
+rental_carried_out (MhCore *core, const Rental *r, char **names)
+{
+  guint got = g_strv_length (names);
+  mh_info (core, "rented %u of %u %s%s in %s", got, r->count, r->spot ? "spot " : "", r->type,
+           r->zone);
   core->scale.lost_cpus = MAX (0, core->scale.lost_cpus - r->cpus * got);
   for (guint i = 0; i < got; i++)
     if (mh_fleet_machine (core, names[i]) == NULL && !mh_fleet_returned (core, names[i]))
       mh_fleet_add (core, names[i], r->type, r->zone, r->spot);
-  if ((status == 200 && names) || status == 503 || status == 400)
-    {
-      if (got < r->count)
-        {
-          g_autofree char *reason = status == 503 ? mh_value_get_text (body, "error") : NULL;
-          bool full = status == 200 || (reason && strcmp (reason, "no capacity") == 0);
-          gint64 *until = g_new (gint64, 1);
-          *until = core->now.mono_us + (full ? REFUSED_US : 2 * MH_SECOND_US);
-          g_hash_table_insert (core->scale.refused, kind_key (r->type, r->zone, r->spot), until);
-          mh_info (core, "renting %u %s%s in %s: %s", r->count - got, r->spot ? "spot " : "",
-                   r->type, r->zone, full ? "no capacity" : "refused");
-        }
-      core->scale.renting = false;
-      core->scale.step_us = core->now.mono_us;
-      return;
-    }
-  /* Not known, or not now: the same name again, so that nothing is rented twice. */
+  if (got < r->count)
+    rental_refused (core, r, r->count - got, true);
+}
+
+/* Not known, or not now: the same name again, so that nothing is rented twice. */
+static void
+rent_again (MhCore *core, const Rental *r)
+{
   core->cloud_pause_us = core->now.mono_us + 300000 + (gint64)(core->now.jitter * 300000);
   Rental *again = g_new0 (Rental, 1);
   *again = *r;
@@ -508,6 +523,27 @@
   rent (core, again);
 }
 
+static void
+rent_reply (MhCore *core, gpointer data, guint status, const MhValue *body)
+{
+  const Rental *r = data;
+  g_auto (GStrv) names = status == 200 ? mh_wire_read_rented (body) : NULL;
+  if (names)
+    rental_carried_out (core, r, names);
+  else if (status == 503 || status == 400)
+    {
+      g_autofree char *reason = status == 503 ? mh_value_get_text (body, "error") : NULL;
+      rental_refused (core, r, r->count, g_strcmp0 (reason, "no capacity") == 0);
+    }
+  else
+    {
+      rent_again (core, r);
+      return;
+    }
+  core->scale.renting = false;
+  core->scale.step_us = core->now.mono_us;
+}
+
 static void
 rent (MhCore *core, Rental *r)
 {
@@ -640,56 +676,75 @@
   return waiting;
 }
 
-static void
-lay_out (MhCore *core, Plan *plan, const MhJob *job, guint n)
+/* What of a job's tasks has found room in the plan, and where the rest may go. */
+typedef struct
 {
+  const MhJob *job;
+  const char *zone; /* the only one; NULL: any */
+  guint left;
+} Assignment;
+
+/* Puts as many tasks there as there is room for, and expects them to leave again. */
+static guint
+assign (const MhCore *core, Plan *plan, Assignment *assignment, Room *room)
+{
+  const MhJob *job = assignment->job;
   const MhJobSpec *s = job->spec;
+  guint n = room_for (room, s, assignment->left);
+  if (n == 0)
+    return 0;
+  room_take (room, s, n);
+  if (s->one_zone)
+    assignment->zone = room->zone;
+  assignment->left -= n;
+  if (s->shape != MH_SHAPE_SERVICE)
+    add_ending (plan, core->now.mono_us + room->type->boot_us + job->run_us + job->fetch_us,
+                s->cpus * n);
+  return n;
+}
+
+/* What failed machines ran has to run again beside all that keeps coming: room that others leave is
+   not enough for both. With 279 of 590 machines cut off, nothing was rented for 45 s, since what
+   waited could never have been in time. */
+static guint
+to_run_again (Plan *plan, const MhJobSpec *s, guint n)
+{
+  if (s->shape == MH_SHAPE_SERVICE)
+    return 0;
+  guint again = mh_place_times (MAX (plan->lost_cpus, 0), s->cpus, n);
+  plan->lost_cpus -= s->cpus * again;
+  return again;
+}
+
+static void
+assign_tasks (MhCore *core, Plan *plan, const MhJob *job, guint n)
+{
   /* Tasks that stay together go to one zone, which their first room decides: what was rented for
      them elsewhere, while some ran, was of no use to them, and they waited on. */
-  const char *zone = mh_place_only_zone (job);
+  Assignment assignment = { .job = job, .zone = mh_place_only_zone (job), .left = n };
   /* What is held for a gang is there already, and the rest has to come beside it. One that is being
      stopped will find its own room again. */
   if (mh_gang_is (job))
     {
-      if (job->n_live || n < s->tasks)
+      if (job->n_live || n < job->spec->tasks)
         return;
-      n -= MIN (n, job->held);
-      zone = job->held_zone ? job->held_zone : zone;
+      assignment.left -= MIN (n, job->held);
+      if (job->held_zone)
+        assignment.zone = job->held_zone;
     }
-  for (guint i = 0; i < plan->rooms->len && n > 0; i++)
+  for (guint i = 0; i < plan->rooms->len && assignment.left; i++)
     {
-      Room *r = &g_array_index (plan->rooms, Room, i);
-      guint k = room_of_kind (r, job, zone) ? room_for (r, s, n) : 0;
-      if (k == 0)
-        continue;
-      room_take (r, s, k);
-      if (s->one_zone)
-        zone = r->zone;
-      n -= k;
-      if (s->shape != MH_SHAPE_SERVICE)
-        add_ending (plan, core->now.mono_us + r->type->boot_us + job->run_us + job->fetch_us,
-                    s->cpus * k);
+      Room *room = &g_array_index (plan->rooms, Room, i);
+      if (room_of_kind (room, job, assignment.zone))
+        assign (core, plan, &assignment, room);
     }
-  /* What failed machines ran has to run again beside all that keeps coming: room that others leave
-     is not enough for both. With 279 of 590 machines cut off, nothing was rented for 45 s, since
-     what waited could never have been in time. */
-  guint again
-      = s->shape == MH_SHAPE_SERVICE ? 0 : mh_place_times (MAX (plan->lost_cpus, 0), s->cpus, n);
-  plan->lost_cpus -= s->cpus * again;
-  n -= may_wait (core, plan, job, n - again);
-  while (n > 0)
+  guint again = to_run_again (plan, job->spec, assignment.left);
+  assignment.left -= may_wait (core, plan, job, assignment.left - again);
+  while (assignment.left)
     {
-      Room *r = choose (plan, job, zone, n);
-      guint k = r ? room_for (r, s, n) : 0;
-      if (k == 0)
+      Room *room = choose (plan, job, assignment.zone, assignment.left);
+      if (room == NULL || assign (core, plan, &assignment, room) == 0)
         return;
-      room_take (r, s, k);
-      if (s->one_zone)
-        zone = r->zone;
-      n -= k;
-      if (s->shape != MH_SHAPE_SERVICE)
-        add_ending (plan, core->now.mono_us + r->type->boot_us + job->run_us + job->fetch_us,
-                    s->cpus * k);
     }
 }
 
@@ -734,7 +789,7 @@
       use->cpus += s->cpus * n;
       use->gpus += s->gpus * n;
       if (n > 0)
-        lay_out (core, plan, job, n);
+        assign_tasks (core, plan, job, n);
     }
 }
 
--- a/src/store.c
+++ b/src/store.c
@@ -166,54 +166,72 @@
   return shape == MH_SHAPE_SERVICE ? "service" : shape == MH_SHAPE_GANG ? "gang" : "array";
 }
 
+static void
+job_accepted (MhCore *core, MhJob *job)
+{
+  if (job->accepted)
+    return;
+  job->accepted = true;
+  core->place_wanted = true;
+  core->place_urgent |= job->spec->shape == MH_SHAPE_SERVICE;
+  mh_info (core, "job %s: accepted after %d ms: %s of %u tasks for %s (%s)", job->spec->id,
+           (int)((core->now.mono_us - job->submitted_us) / 1000), shape_name (job->spec->shape),
+           job->spec->tasks, job->spec->team, job->spec->class_name);
+}
+
+static void
+final_written (MhCore *core, MhJob *job, bool cancelled)
+{
+  MhUserAnswer a = { .status = 200 };
+  job->final = true;
+  job->final_state = cancelled ? MH_JOB_CANCELLED : MH_JOB_DONE;
+  for (guint i = drops_with_final (core, job) + 1; i < job->n_records; i++)
+    if (job->records[i].version)
+      g_queue_push_tail (&core->garbage, mh_record_key (job->spec->id, i));
+  answer_waiters (core, job);
+  mh_info (core, "job %s: %s", job->spec->id, cancelled ? "cancelled and gone" : "done");
+  mh_job_answer (job, &a);
+  job_remove (core, job, &a);
+}
+
+/* What was waiting for the record to be durable may be sent now. */
+static void
+send_starts (MhCore *core, const MhRecord *r)
+{
+  const MhJob *job = r->job;
+  guint end = MIN ((r->chunk + 1) * job->chunk, job->spec->tasks);
+  for (guint i = r->chunk * job->chunk; i < end; i++)
+    if (job->tasks[i].live && !job->tasks[i].live->start_sent)
+      mh_fleet_send_commands (core, job->tasks[i].live->machine);
+}
+
 static void
 write_done (MhCore *core, const Write *w, guint64 version)
 {
   MhRecord *r = w->record;
   MhJob *job = r->job;
-  r->writing = r->alone = false;
+  r->writing = false;
   r->version = version;
   r->rechunked_rev = w->rev;
-  if (job->unchunked_records && r->chunk && !w->final)
+  if (w->final)
+    {
+      job_accepted (core, job);
+      final_written (core, job, w->cancelled);
+      return;
+    }
+  r->alone = false;
+  if (job->unchunked_records && r->chunk)
     return; /* counts once the first record says so */
-  if (job->unchunked_records && !w->final)
+  if (job->unchunked_records)
     mh_rechunk_finished (core, job);
   r->durable = w->rev;
-  /* What was waiting for this to be on record may be ordered now. */
-  guint end = MIN ((r->chunk + 1) * job->chunk, job->spec->tasks);
-  for (guint i = r->chunk * job->chunk; i < end; i++)
-    if (job->tasks[i].live && !job->tasks[i].live->start_sent)
-      mh_fleet_send_commands (core, job->tasks[i].live->machine);
+  send_starts (core, r);
   if (r->chunk == 0)
     {
-      if (!job->accepted)
-        mh_info (core, "job %s: accepted after %d ms: %s of %u tasks for %s (%s)", job->spec->id,
-                 (int)((core->now.mono_us - job->submitted_us) / 1000),
-                 shape_name (job->spec->shape), job->spec->tasks, job->spec->team,
-                 job->spec->class_name);
-      core->place_wanted |= !job->accepted;
-      core->place_urgent |= !job->accepted && job->spec->shape == MH_SHAPE_SERVICE;
-      job->accepted = true;
+      job_accepted (core, job);
       job->cancel_durable |= w->cancelled;
-      if (w->final)
-        {
-          job->final = true;
-          job->final_state = w->cancelled ? MH_JOB_CANCELLED : MH_JOB_DONE;
-          for (guint i = drops_with_final (core, job) + 1; i < job->n_records; i++)
-            if (job->records[i].version)
-              g_queue_push_tail (&core->garbage, mh_record_key (job->spec->id, i));
-        }
       answer_waiters (core, job);
     }
-  if (job->final)
-    {
-      MhUserAnswer a = { .status = 200 };
-      mh_info (core, "job %s: %s", job->spec->id,
-               job->final_state == MH_JOB_DONE ? "done" : "cancelled and gone");
-      mh_job_answer (job, &a);
-      job_remove (core, job, &a);
-      return;
-    }
   if (r->rev > r->durable)
     mh_store_enqueue (core, r, r->again);
   r->again = MH_URGENCY_PROGRESS;
