--- a/src/job.c
+++ b/src/job.c
@@ -2,7 +2,7 @@
 
 /* Of a record, in JSON: a task, with a machine's name of sixteen characters, and what is neither
    job nor task. A record that turns out larger is re-chunked. */
-#define TASK_JSON 40u
+#define TASK_JSON ((gsize)40)
 #define RECORD_JSON 200u
 #define LEAST_CHUNK 16u
 /* A larger record would be written whole for ever smaller parts of it. */
@@ -15,7 +15,7 @@
   gsize used = mh_value_json_size (v) + RECORD_JSON;
   if (used + LEAST_CHUNK * TASK_JSON > value_bytes)
     return 0;
-  return MIN ((guint)(value_bytes - used) / TASK_JSON, LARGEST_CHUNK);
+  return (guint)MIN ((value_bytes - used) / TASK_JSON, LARGEST_CHUNK);
 }
 
 MhJob *
--- a/src/main.c
+++ b/src/main.c
@@ -38,7 +38,7 @@
                                                                       : "error";
   for (gsize i = 0; i < n; i++)
     if (strcmp (fields[i].key, "MESSAGE") == 0)
-      fprintf (stderr, "%s: %s\n", word, (const char *)fields[i].value);
+      (void)fprintf (stderr, "%s: %s\n", word, (const char *)fields[i].value);
   return G_LOG_WRITER_HANDLED;
 }
 
--- a/src/place.c
+++ b/src/place.c
@@ -1,6 +1,7 @@
 /* Placement: filter, rank, first fit; quota, guarantees and preemption. */
 #include "core-private.h"
 
+#include <math.h>
 #include <string.h>
 
 #define EPSILON 1e-6
@@ -197,7 +198,7 @@
            * (c->wait_us > patience ? TOO_LATE : 1);
   if (c->wait_us <= 0)
     return 0;
-  return c->wait_us <= patience ? 1 : 2 + (double)(c->wait_us / LATE_STEP_US);
+  return c->wait_us <= patience ? 1 : 2 + floor ((double)c->wait_us / LATE_STEP_US);
 }
 
 /* The documented order: the soft score; the cost as above; the replicas there; the cheapest by the
--- a/src/shell.c
+++ b/src/shell.c
@@ -413,8 +413,11 @@
 address_of (const char *text)
 {
   const char *colon = strrchr (text, ':');
-  g_autofree char *host = g_strndup (text, colon ? (gsize)(colon - text) : strlen (text));
-  return colon ? g_inet_socket_address_new_from_string (host, (guint)atoi (colon + 1)) : NULL;
+  guint64 port;
+  if (colon == NULL || !g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, &port, NULL))
+    return NULL;
+  g_autofree char *host = g_strndup (text, (gsize)(colon - text));
+  return g_inet_socket_address_new_from_string (host, (guint)port);
 }
 
 static Peer *
--- a/src/store.c
+++ b/src/store.c
@@ -9,13 +9,15 @@
 /* ... with what users wait for, who shall not wait for the others when the service is slow. */
 #define TXNS_FOR_USERS 6u
 /* Below the 64 KiB that one transaction may have, counted in JSON. */
-#define TXN_BYTES (56u * 1024u)
+#define TXN_BYTES ((gsize)57344)
 /* Of a change and its conditions, beside the value. */
 #define OVERHEAD_BYTES 300u
 /* Of the burst of changes. */
 #define KEPT_FOR_USERS 0.4
 /* Chunks dropped with a job's final record; the rest is dropped as garbage. */
 #define DROPS_WITH_FINAL 6u
+/* Tokens beyond what is kept for users, before a batch is put together. */
+#define LEAST_TOKENS 5
 /* A record that was refused as malformed is not tried again before. */
 #define REFUSED_RECORD_US (30 * MH_SECOND_US)
 
@@ -651,7 +653,7 @@
         return;
       /* A part of the burst is kept for what a user waits for. */
       double kept = core->write_bucket.burst * KEPT_FOR_USERS;
-      double least = urgent ? 1 : MIN (core->write_bucket.burst, kept + 2 + DROPS_WITH_FINAL / 2);
+      double least = urgent ? 1 : MIN (core->write_bucket.burst, kept + LEAST_TOKENS);
       if (core->now.mono_us < core->state_pause_us
           || !mh_bucket_has (&core->write_bucket, least, core->now.mono_us))
         {
--- a/src/types.h
+++ b/src/types.h
@@ -6,7 +6,7 @@
 
 #define MH_SECOND_US ((gint64)1000000)
 #define MH_MAX_TASKS 100000u
-#define MH_MAX_BODY (64u * 1024u)
+#define MH_MAX_BODY ((gsize)65536)
 
 typedef enum
 {
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -110,8 +110,8 @@
 node_now (SimNode *n)
 {
   gint64 t = n->sim->now_us;
-  return (MhNow){ .mono_us = 1000000 * (n->index + 1) + (gint64)((double)t * (1 + n->drift)),
-                  .wall_us = 1700000000000000 + t + 1000 * n->index,
+  return (MhNow){ .mono_us = MH_SECOND_US * (n->index + 1) + (gint64)((double)t * (1 + n->drift)),
+                  .wall_us = 1700000000000000 + t + (gint64)1000 * n->index,
                   .jitter = g_rand_double (n->sim->random) };
 }
 
@@ -309,8 +309,7 @@
     }
   if (strcmp (r->path, "/multi") == 0 && sim->now_us < n->writes_lost_us)
     return;
-  guint64 token = (guint64)(gsize)f;
-  if (world_serve (sim->world, r->target, r->method, r->path, r->body, token, &status, &reply))
+  if (world_serve (sim->world, r->target, r->method, r->path, r->body, f, &status, &reply))
     flight_answer (sim, f, status, reply);
   else
     g_rc_box_acquire (f); /* the watch holds it */
@@ -1095,9 +1094,7 @@
       g_free (n->name);
     }
   for (guint i = 0; i < sim->world->watches->len; i++)
-    flight_unref ((gpointer)(gsize)
-                  * (guint64 *)(sim->world->watches->data
-                                + i * g_array_get_element_size (sim->world->watches)));
+    flight_unref (world_watch_token (sim->world, i));
   g_sequence_free (sim->events);
   g_ptr_array_unref (sim->held);
   g_ptr_array_unref (sim->held_writes);
@@ -1122,7 +1119,7 @@
   for (guint i = 0; i < woken->len; i++)
     {
       const WorldWoken *w = &g_array_index (woken, WorldWoken, i);
-      Flight *f = (Flight *)(gsize)w->token;
+      Flight *f = w->token;
       flight_answer (sim, f, w->status, w->body);
       flight_unref (f);
     }
--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -259,7 +259,7 @@
       sim_run (sim, 1);
     }
   g_assert_true (sim_logged (sim, "next start in"));
-  g_assert_cmpuint (sim->world->starts - starts, <=, 4 * 8);
+  g_assert_cmpuint (sim->world->starts - starts, <=, 32); /* eight attempts */
   g_assert_cmpuint (world_running (sim->world, other->job->spec->id), ==, 1);
   sim_cancel (u);
   WAIT (sim, 10, told_cancelled, u);
--- a/tests/test-loopback.c
+++ b/tests/test-loopback.c
@@ -33,8 +33,7 @@
   char *dir, *config[NODES];
   GSubprocess *process[NODES];
   GPtrArray *workers;
-  GHashTable *waiting; /* token -> paused message */
-  guint64 tokens;
+  GHashTable *waiting; /* paused messages, each the token of its watch */
 } t;
 
 static guint
@@ -79,12 +78,12 @@
   for (guint i = 0; i < woken->len; i++)
     {
       const WorldWoken *w = &g_array_index (woken, WorldWoken, i);
-      SoupServerMessage *m = g_hash_table_lookup (t.waiting, &w->token);
+      SoupServerMessage *m = g_hash_table_lookup (t.waiting, w->token);
       if (m)
         {
           respond (m, w->status, w->body);
           soup_server_message_unpause (m);
-          g_hash_table_remove (t.waiting, &w->token);
+          g_hash_table_remove (t.waiting, w->token);
         }
       else
         mh_value_unref (w->body);
@@ -106,15 +105,14 @@
   g_autofree char *whole = q ? g_strconcat (path, "?", q, NULL) : g_strdup (path);
   MhTarget target = g_str_has_prefix (path, "/machine") ? MH_TARGET_CLOUD : MH_TARGET_STATE;
   g_autoptr (MhValue) body = body_of (m);
-  guint64 token = ++t.tokens;
-  if (world_serve (t.world, target, soup_server_message_get_method (m), whole, body, token, &status,
+  if (world_serve (t.world, target, soup_server_message_get_method (m), whole, body, m, &status,
                    &reply))
     {
       respond (m, status, reply);
       return;
     }
   soup_server_message_pause (m);
-  g_hash_table_insert (t.waiting, g_memdup2 (&token, sizeof token), g_object_ref (m));
+  g_hash_table_add (t.waiting, g_object_ref (m));
 }
 
 static void
@@ -356,7 +354,7 @@
   t.world = world_new (t.settings);
   t.world->boot_us = MH_SECOND_US;
   t.workers = g_ptr_array_new ();
-  t.waiting = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_object_unref);
+  t.waiting = g_hash_table_new_full (g_direct_hash, g_direct_equal, g_object_unref, NULL);
   t.session = soup_session_new_with_options ("proxy-resolver", NULL, NULL);
   t.outside = soup_server_new (NULL, NULL);
   soup_server_add_handler (t.outside, NULL, serve_outside, NULL, NULL);
--- a/tests/test-meetings.c
+++ b/tests/test-meetings.c
@@ -188,7 +188,7 @@
 static void
 wait_all (Sim *sim, double seconds)
 {
-  for (double t = 0; t < seconds && !sim_all_settled (sim, NULL); t++)
+  for (guint second = 0; second < seconds && !sim_all_settled (sim, NULL); second++)
     {
       sim_run (sim, 1);
       world_check_waiting (sim->world);
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -3,6 +3,7 @@
    order of the walk decide. */
 #include "core-private.h"
 
+#include <math.h>
 #include <string.h>
 
 #define MACHINES 80
@@ -141,7 +142,7 @@
     key[0] = unit * (wait + (double)s->estimate_us + 1e6) * (wait > patience ? 1000 : 1);
   else
     {
-      key[0] = wait <= 0 ? 0 : wait <= patience ? 1 : 2 + (double)((gint64)wait / 10000000);
+      key[0] = wait <= 0 ? 0 : wait <= patience ? 1 : 2 + floor (wait / 10000000);
       key[1] = mh_fleet_hourly (m) > 2 * least;
       key[2] = m->replicas < most ? most - m->replicas : m->replicas + 1;
     }
--- a/tests/test-upgrade.c
+++ b/tests/test-upgrade.c
@@ -15,7 +15,7 @@
   g_assert_nonnull (v);
   return v;
 }
-#define LOAD(fixture) load (fixture, sizeof fixture)
+#define LOAD(fixture) load ((fixture), sizeof (fixture))
 
 static void
 assert_written (MhValue *written, const guint8 *data, gsize size)
@@ -24,7 +24,7 @@
   g_autoptr (GBytes) bytes = mh_value_save (v);
   g_assert_cmpmem (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes), data, size);
 }
-#define ASSERT_WRITTEN(value, fixture) assert_written (value, fixture, sizeof fixture)
+#define ASSERT_WRITTEN(value, fixture) assert_written ((value), (fixture), sizeof (fixture))
 
 static void
 count_task (gpointer data, guint index, guint32 attempt, const char *machine)
@@ -113,7 +113,7 @@
   const char *names[] = { "vm-000231", "vm-000232", NULL };
   ASSERT_WRITTEN (mh_record_write_release ((char **)names), production_release);
   for (guint i = 0; i < 3; i++)
-    mh_fleet_attempt_forget (core, job->tasks[i * 15].live);
+    mh_fleet_attempt_forget (core, job->tasks[(gsize)i * 15].live);
   mh_job_free (job);
 }
 
--- a/tests/world.c
+++ b/tests/world.c
@@ -18,7 +18,8 @@
 
 typedef struct
 {
-  guint64 token, since;
+  gpointer token;
+  guint64 since;
   char *prefix;
   gint64 until_us;
 } Watch;
@@ -244,7 +245,7 @@
                   *limit = query (path, "limit");
   Listing l = { .prefix = prefix ? prefix : "",
                 .after = after,
-                .limit = limit ? (guint)atoi (limit) : 1000,
+                .limit = limit ? (guint)g_ascii_strtoull (limit, NULL, 10) : 1000,
                 .list = mh_value_list () };
   g_tree_foreach (w->keys, collect_listing, &l);
   MhValue *m = revision_body (w);
@@ -277,7 +278,8 @@
   const MhValue *conditions = mh_value_get (body, "if"), *changes = mh_value_get (body, "apply");
   MhValue *failed = mh_value_list ();
   if (mh_value_size (changes) > w->settings->txn_ops
-      || mh_value_size (conditions) > 4 * w->settings->txn_ops || mh_value_json_size (body) > 65536)
+      || mh_value_size (conditions) > (gsize)4 * w->settings->txn_ops
+      || mh_value_json_size (body) > 65536)
     {
       mh_value_unref (failed);
       w->writes_malformed++;
@@ -363,7 +365,7 @@
 }
 
 static bool
-serve_state (World *w, const char *method, const char *path, const MhValue *body, guint64 token,
+serve_state (World *w, const char *method, const char *path, const MhValue *body, gpointer token,
              guint *status, MhValue **reply)
 {
   *status = 200;
@@ -416,6 +418,12 @@
   return true;
 }
 
+gpointer
+world_watch_token (const World *w, guint index)
+{
+  return g_array_index (w->watches, Watch, index).token;
+}
+
 /* ---- cloud ---- */
 
 static MhValue *
@@ -596,7 +604,7 @@
 
 bool
 world_serve (World *w, MhTarget target, const char *method, const char *path, const MhValue *body,
-             guint64 token, guint *status, MhValue **reply)
+             gpointer token, guint *status, MhValue **reply)
 {
   *reply = NULL;
   if (target == MH_TARGET_STATE)
@@ -779,7 +787,7 @@
     }
   WorldTask t = { .leg = g_strdup (leg),
                   .job = g_strdup (parts[0]),
-                  .index = (guint)atoi (parts[1]),
+                  .index = (guint)g_ascii_strtoull (parts[1], NULL, 10),
                   .attempt = attempt,
                   .phase = MH_TASK_ENDED };
   double cpus = 0, mem = 0;
--- a/tests/world.h
+++ b/tests/world.h
@@ -48,7 +48,7 @@
 
 typedef struct
 {
-  guint64 token; /* the caller's */
+  gpointer token; /* the caller's */
   guint status;
   MhValue *body;
 } WorldWoken;
@@ -97,7 +97,10 @@
    world_advance under `token`. */
 bool
 world_serve (World *world, MhTarget target, const char *method, const char *path,
-             const MhValue *body, guint64 token, guint *status, MhValue **reply);
+             const MhValue *body, gpointer token, guint *status, MhValue **reply);
+/* Of the watch with that index, while it waits. */
+gpointer
+world_watch_token (const World *world, guint index);
 
 WorldMachine *
 world_machine (World *world, const char *name);
