--- a/src/rechunk.c
+++ b/src/rechunk.c
@@ -36,7 +36,7 @@
 void
 mh_rechunk_finished (MhCore *core, MhJob *job)
 {
-  mh_info (core, "job %s: laid out anew in %u records", job->spec->id, job->n_records);
+  mh_info (core, "job %s: re-chunked into %u records", job->spec->id, job->n_records);
   job->unchunked_records = 0;
   for (guint i = 0; i < job->n_records; i++)
     {
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -250,7 +250,7 @@
   if (w == NULL || !w->machine->up || w->machine->gone)
     return;
   /* Held back by a hang or a cut, it is carried out afterwards, however late. */
-  if (w->deaf_us > sim->now_us)
+  if (w->answers_lost_us > sim->now_us)
     return;
   gint64 until
       = MAX (w->machine->hung_until_us, MAX (w->cut_us, sim->nodes[f->node].workers_cut_us));
@@ -666,7 +666,7 @@
       || sim->now_us > report->sent_us + REPORT_TIMEOUT_US)
     return;
   if (w->machine->hung_until_us > sim->now_us || w->cut_us > sim->now_us
-      || w->deaf_us > sim->now_us)
+      || w->answers_lost_us > sim->now_us)
     return; /* dropped: too late when it goes on */
   g_autofree char *node = mh_value_get_text (report->body, "dispatcher");
   SimNode *to = node ? node_named (sim, node) : NULL;
@@ -754,7 +754,7 @@
   if (m->gone || m->failed)
     return;
   at (sim, sim->now_us + 100000, worker_turn, w, NULL);
-  if (!m->up || m->hung_until_us > sim->now_us || w->mute_us > sim->now_us)
+  if (!m->up || m->hung_until_us > sim->now_us || w->reports_lost_us > sim->now_us)
     return;
   if (w->flying && sim->now_us > w->sent_us + REPORT_TIMEOUT_US)
     {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -41,8 +41,8 @@
   WorldMachine *machine;
   guint node;
   gint64 next_us, sent_us;
-  gint64 cut_us, mute_us; /* without network, sends no report: until */
-  gint64 deaf_us;         /* its reports arrive, but no answer or command reaches it: until */
+  gint64 cut_us, reports_lost_us; /* without network, sends no report: until */
+  gint64 answers_lost_us; /* its reports arrive, but no answer or command reaches it: until */
   gint node_only;         /* reports to this node alone; -1: to any */
   gint64 only_until_us;   /* ... and no other's commands reach it: until */
   bool flying;
--- a/tests/steps.c
+++ b/tests/steps.c
@@ -52,6 +52,12 @@
   return ((WorldMachine *)data)->gone;
 }
 
+SimWorker *
+sim_worker (Sim *sim, guint index)
+{
+  return g_ptr_array_index (sim->workers, index);
+}
+
 SimWorker *
 worker_of (Sim *sim, const char *leg)
 {
@@ -73,6 +79,27 @@
   return u;
 }
 
+SimUser *
+running_array (Sim *sim, guint number, guint tasks, double run_s)
+{
+  MhJobSpec *s = sim_spec (number, MH_SHAPE_ARRAY, tasks, 1);
+  s->estimate_us = 300 * MH_SECOND_US;
+  SimUser *u = sim_submit (sim, s, run_s);
+  WAIT (sim, 60, all_run, u);
+  return u;
+}
+
+void
+wait_all (Sim *sim, double seconds)
+{
+  for (guint second = 0; second < seconds && !sim_all_settled (sim, NULL); second++)
+    {
+      sim_run (sim, 1);
+      world_check_waiting (sim->world);
+    }
+  g_assert_true (sim_all_settled (sim, NULL));
+}
+
 void
 finish (Sim *sim)
 {
--- a/tests/steps.h
+++ b/tests/steps.h
@@ -21,9 +21,17 @@
 bool
 is_gone (Sim *sim, gpointer data);
 SimWorker *
+sim_worker (Sim *sim, guint index);
+SimWorker *
 worker_of (Sim *sim, const char *leg);
 SimUser *
 running_service (Sim *sim, guint number, guint tasks);
+/* An array that is expected to run for long, so that none of its tasks waits for another. */
+SimUser *
+running_array (Sim *sim, guint number, guint tasks, double run_s);
+/* Until every job is settled; none may wait beside free room meanwhile. */
+void
+wait_all (Sim *sim, double seconds);
 /* The last step: no rule was broken. */
 void
 finish (Sim *sim);
--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -270,7 +270,7 @@
   running_service (sim, 1, 3);
   SimNode *old = sim_leader (sim);
   /* Nothing was queued up for it meanwhile. */
-  worker_of (sim, "j-000001/0")->mute_us = sim->now_us + 12 * MH_SECOND_US;
+  worker_of (sim, "j-000001/0")->reports_lost_us = sim->now_us + 12 * MH_SECOND_US;
   sim->world->outage_until_us = sim->now_us + 11 * MH_SECOND_US;
   sim_freeze_node (sim, old->index, 11);
   sim_run (sim, 20);
@@ -351,12 +351,12 @@
 /* A machine that does not report is asked; one that answers is kept, one that does not is given
    back well before the worker's lease would have ended. */
 static void
-test_silence_is_asked_about (void)
+test_suspected_machine_is_probed (void)
 {
   Sim *sim = sim_new (23);
   running_service (sim, 1, 1);
   SimWorker *w = worker_of (sim, "j-000001/0");
-  w->mute_us = sim->now_us + 12 * MH_SECOND_US;
+  w->reports_lost_us = sim->now_us + 12 * MH_SECOND_US;
   sim_run (sim, 14);
   g_assert_false (w->machine->gone);
   g_assert_cmpuint (sim->world->starts, ==, 1);
@@ -393,7 +393,8 @@
   running_service (sim, 1, 1);
   sim_run (sim, 10); /* the cloud lists the machine */
   for (guint i = 0; i < sim->workers->len; i++)
-    ((SimWorker *)g_ptr_array_index (sim->workers, i))->mute_us = sim->now_us + 10 * MH_SECOND_US;
+    ((SimWorker *)g_ptr_array_index (sim->workers, i))->reports_lost_us
+        = sim->now_us + 10 * MH_SECOND_US;
   sim_stop_node (sim, sim_leader (sim)->index);
   WAIT (sim, 10, has_leader, NULL);
   SimUser *u = sim_submit (sim, sim_spec (4, MH_SHAPE_SERVICE, 1, 1), 0);
@@ -458,7 +459,8 @@
   SimUser *u = sim_submit (sim, sim_spec (4, MH_SHAPE_SERVICE, 1, 1), 0);
   WAIT (sim, 30, all_run, u);
   for (guint i = 0; i < sim->workers->len; i++)
-    ((SimWorker *)g_ptr_array_index (sim->workers, i))->mute_us = sim->now_us + 8 * MH_SECOND_US;
+    ((SimWorker *)g_ptr_array_index (sim->workers, i))->reports_lost_us
+        = sim->now_us + 8 * MH_SECOND_US;
   sim_stop_node (sim, sim_leader (sim)->index);
   WAIT (sim, 10, has_leader, NULL);
   sim_run (sim, 0.3);
@@ -471,7 +473,7 @@
 
 /* A worker whose lease ran out has a new session: proof by itself. */
 static void
-test_new_tenure (void)
+test_new_session (void)
 {
   Sim *sim = sim_new (11);
   SimUser *u = running_service (sim, 1, 1);
@@ -543,7 +545,7 @@
 /* The same, and the peers cannot hear one another either: the old leader holds the workers for a
    while. The new one must not give their machines back, nor restart anything. */
 static void
-test_leader_cut_and_deaf (void)
+test_leader_cut_off_and_unheard (void)
 {
   Sim *sim = sim_new (15);
   running_service (sim, 1, 4);
@@ -728,7 +730,7 @@
 /* The reports of a machine arrive, but nothing reaches it. It looks alive, and even reports on
    time; what it holds can run elsewhere only when it is given back. */
 static void
-test_unheeding_machine (void)
+test_answers_ignored (void)
 {
   Sim *sim = sim_new (30);
   /* So long that the worker's next try, after it has given up on an answer, is not even late. */
@@ -737,7 +739,7 @@
   SimUser *u = running_service (sim, 1, 1);
   SimWorker *w = worker_of (sim, "j-000001/0");
   w->node_only = (gint)sim_leader (sim)->index;
-  w->deaf_us = sim->now_us + 300 * MH_SECOND_US;
+  w->answers_lost_us = sim->now_us + 300 * MH_SECOND_US;
   gint64 from = sim->now_us;
   /* One more task for it, which it never shows. */
   SimUser *array = sim_submit (sim, sim_spec (3, MH_SHAPE_ARRAY, 2, 1), 2);
@@ -1068,7 +1070,7 @@
 /* A zone is cut off as a whole, for less than the workers' lease. Its machines are not given back
    one by one, none is rented there meanwhile, and what runs there goes on. */
 static void
-test_dark_zone (void)
+test_partitioned_zone (void)
 {
   Sim *sim = sim_new (41);
   for (guint i = 0; i < 8; i++)
@@ -1257,17 +1259,17 @@
   ADD ("stands-still-deciding", test_stands_still_deciding);
   ADD ("cancel-in-flight", test_cancel_in_flight);
   ADD ("quota-unreachable", test_quota_unreachable);
-  ADD ("silence-is-asked-about", test_silence_is_asked_about);
+  ADD ("silence-is-asked-about", test_suspected_machine_is_probed);
   ADD ("proof-is-kept", test_proof_is_kept);
   ADD ("new-leader-asks", test_new_leader_asks);
   ADD ("start-waits-for-its-record", test_start_waits_for_its_record);
   ADD ("result-waits-for-its-record", test_result_waits_for_its_record);
   ADD ("late-report-proves-nothing", test_late_report_proves_nothing);
-  ADD ("new-tenure", test_new_tenure);
+  ADD ("new-tenure", test_new_session);
   ADD ("leader-crash", test_leader_crash);
   ADD ("all-crash", test_all_crash);
   ADD ("leader-cut-from-state", test_leader_cut_from_state);
-  ADD ("leader-cut-and-deaf", test_leader_cut_and_deaf);
+  ADD ("leader-cut-and-deaf", test_leader_cut_off_and_unheard);
   ADD ("state-outage", test_state_outage);
   ADD ("cancel-behind-old-leader", test_cancel_behind_old_leader);
   ADD ("no-answer-past-the-leader", test_no_answer_past_the_leader);
@@ -1276,7 +1278,7 @@
   ADD ("guarantee", test_guarantee);
   ADD ("no-preemption-cycle", test_no_preemption_cycle);
   ADD ("idle-followers-sleep", test_idle_followers_sleep);
-  ADD ("unheeding-machine", test_unheeding_machine);
+  ADD ("unheeding-machine", test_answers_ignored);
   ADD ("late-copy-of-returned-machine", test_late_copy_of_returned_machine);
   ADD ("isolated-leader", test_isolated_leader);
   ADD ("unreached-leader", test_unreached_leader);
@@ -1287,7 +1289,7 @@
   ADD ("spread-four-zones", test_spread_four_zones);
   ADD ("images-apart", test_images_apart);
   ADD ("leader-loses-workers", test_leader_loses_workers);
-  ADD ("dark-zone", test_dark_zone);
+  ADD ("dark-zone", test_partitioned_zone);
   ADD ("room-is-made-once", test_room_is_made_once);
   ADD ("lost-room-is-rented", test_lost_room_is_rented);
   ADD ("worker-begins-anew", test_worker_begins_anew);
--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -64,7 +64,7 @@
   SimWorker *w = worker_of (sim, "j-000001/0");
   WorldMachine *m = w->machine;
   sim_run (sim, 5);
-  w->mute_us = sim->now_us + 30 * MH_SECOND_US;
+  w->reports_lost_us = sim->now_us + 30 * MH_SECOND_US;
   WAIT (sim, 30, all_done, u);
   world_fail (m);
   WAIT (sim, 20, told_done, u);
@@ -194,9 +194,9 @@
       else if (how == 2)
         w->cut_us = sim->now_us + 60 * MH_SECOND_US;
       else if (how == 3)
-        w->mute_us = sim->now_us + 60 * MH_SECOND_US;
+        w->reports_lost_us = sim->now_us + 60 * MH_SECOND_US;
       else
-        w->deaf_us = sim->now_us + 60 * MH_SECOND_US;
+        w->answers_lost_us = sim->now_us + 60 * MH_SECOND_US;
       WAIT (sim, 200, told_done, u);
       finish (sim);
     }
--- a/tests/test-random.c
+++ b/tests/test-random.c
@@ -23,7 +23,7 @@
 }
 
 static void
-some_trouble (Sim *sim)
+some_failure (Sim *sim)
 {
   GRand *r = sim->random;
   SimNode *n = &sim->nodes[g_rand_int_range (r, 0, SIM_NODES)];
@@ -81,11 +81,11 @@
       break;
     case 14:
       if (w)
-        w->deaf_us = until + 20 * MH_SECOND_US;
+        w->answers_lost_us = until + 20 * MH_SECOND_US;
       break;
     case 15: /* reports reach nobody, commands arrive */
       if (w)
-        w->mute_us = until + 20 * MH_SECOND_US;
+        w->reports_lost_us = until + 20 * MH_SECOND_US;
       break;
     case 16: /* refused alone, and a moment later everybody is */
       n->state_refused_us = until;
@@ -200,7 +200,7 @@
               = impossible;
         }
       if (turn > 5 && g_rand_int_range (r, 0, 3) == 0)
-        some_trouble (sim);
+        some_failure (sim);
       if (sim->users->len && g_rand_int_range (r, 0, 6) == 0)
         sim_cancel (g_ptr_array_index (sim->users, g_rand_int_range (r, 0, (gint)sim->users->len)));
       if (versions)
--- a/tests/test-versions.c
+++ b/tests/test-versions.c
@@ -189,7 +189,7 @@
 {
   until_running (scene);
   for (guint i = 1; i < scene->sim->workers->len; i++)
-    ((SimWorker *)g_ptr_array_index (scene->sim->workers, i))->mute_us
+    ((SimWorker *)g_ptr_array_index (scene->sim->workers, i))->reports_lost_us
         = scene->sim->now_us + 20 * MH_SECOND_US;
   scene->sim->nodes[0].hold_writes = true;
   WAIT (scene->sim, 30, write_held, NULL);
