--- a/src/core-private.h
+++ b/src/core-private.h
@@ -111,8 +111,7 @@
   gint64 gangs_looked_us;
   bool place_wanted, place_urgent;
   gint64 placed_us, preempted_us;
-  gint64 guarantee_wait_us; /* how long work within a guarantee may wait for its start */
-  GHashTable *forwards;     /* id -> MhUserVerb as pointer */
+  GHashTable *forwards; /* id -> MhUserVerb as pointer */
 
   struct
   {
--- a/src/core.c
+++ b/src/core.c
@@ -574,7 +574,6 @@
   mh_bucket_init (&core->state_bucket, settings->state_rps * 0.75, settings->state_rps * 0.4, t);
   mh_bucket_init (&core->write_bucket, settings->state_write_rps * WRITE_SHARE,
                   settings->state_write_rps * WRITE_BURST_S, t);
-  core->guarantee_wait_us = mh_queue_guarantee_wait_us (settings);
   mh_command_init (core);
   mh_failure_init (core);
   mh_bucket_init (&core->cloud_bucket, settings->cloud_rps * 0.9, settings->cloud_rps * 1.5, t);
--- a/src/gang.c
+++ b/src/gang.c
@@ -292,7 +292,7 @@
       if ((m->spot && !s->spot) || (f->job->zone && f->job->zone != m->zone)
           || !mh_place_type_fits (s, m->type))
         continue;
-      MhSpace now = mh_place_free (m), could, soon = mh_place_space (f->core, f->job, m, &could);
+      MhSpace now = mh_place_free (m), could, soon = mh_place_space (f->job, m, &could);
       Site site = { .machine = m,
                     .slots = { slots_in (&now, s), slots_in (&soon, s),
                                s->gpus > 0 ? 0 : slots_in (&could, s) } };
@@ -397,7 +397,7 @@
       guint n = MIN (site->slots[ROOM_MADE], s->tasks);
       if (n == 0)
         continue;
-      MhSpace could, soon = mh_place_space (f->core, f->job, site->machine, &could);
+      MhSpace could, soon = mh_place_space (f->job, site->machine, &could);
       double loss = mh_place_victims (f->core, f->job, site->machine, soon, n, victims);
       site->cost = loss / n + urgency * (double)site->wait_us / MH_SECOND_US;
     }
@@ -436,7 +436,7 @@
 static void
 stop_victims (Search *f, const Site *site, GPtrArray *victims)
 {
-  MhSpace could, soon = mh_place_space (f->core, f->job, site->machine, &could);
+  MhSpace could, soon = mh_place_space (f->job, site->machine, &could);
   mh_place_victims (f->core, f->job, site->machine, soon, site->taken, victims);
   for (guint i = 0; i < victims->len; i++)
     {
--- a/src/place.c
+++ b/src/place.c
@@ -459,14 +459,8 @@
 
 /* ---- preemption ---- */
 
-static gint64
-ran_us (const MhCore *core, const MhAttempt *a)
-{
-  return a->running_us ? core->now.mono_us - a->running_us : 0;
-}
-
 static bool
-may_stop (const MhCore *core, const MhJob *wants, const MhAttempt *a)
+may_stop (const MhJob *wants, const MhAttempt *a)
 {
   const MhJob *holds = a->job;
   if (holds == wants || a->stopping)
@@ -483,10 +477,7 @@
     return false;
   if (holds->spec->priority < wants->spec->priority)
     return true;
-  /* For a guarantee alone no more work is lost than the wait that it allows: runs of 73 s on the
-     mean were thrown away so that others of the same class began a little sooner. */
-  return wants->guaranteed && strcmp (holds->spec->team, wants->spec->team) != 0
-         && ran_us (core, a) <= core->guarantee_wait_us;
+  return wants->guaranteed && strcmp (holds->spec->team, wants->spec->team) != 0;
 }
 
 double
@@ -501,7 +492,7 @@
 loss_of (const MhCore *core, const MhAttempt *a)
 {
   const MhJobSpec *s = a->job->spec;
-  double ran = (double)ran_us (core, a) / MH_SECOND_US;
+  double ran = a->running_us ? (double)(core->now.mono_us - a->running_us) / MH_SECOND_US : 0;
   /* One task of a gang costs the whole of it, which has to gather again, also one that has just
      begun: those once were stopped first, up to four times in a row. */
   if (mh_gang_is (a->job))
@@ -539,7 +530,7 @@
 
 /* Room that is being freed already counts, so that one need is not met twice. */
 MhSpace
-mh_place_space (const MhCore *core, const MhJob *wants, const MhMachine *m, MhSpace *could)
+mh_place_space (const MhJob *wants, const MhMachine *m, MhSpace *could)
 {
   MhSpace x = mh_place_free (m);
   *could = (MhSpace){ 0 };
@@ -548,7 +539,7 @@
       const MhAttempt *a = mh_machine_attempt (m, i);
       if (a->stopping)
         add_task (&x, a->job->spec);
-      else if (may_stop (core, wants, a))
+      else if (may_stop (wants, a))
         add_task (could, a->job->spec);
     }
   could->cpus += x.cpus;
@@ -564,7 +555,7 @@
   g_autoptr (GPtrArray) able = g_ptr_array_new ();
   double loss = 0;
   for (guint j = 0; j < m->attempts->len; j++)
-    if (may_stop (core, wants, mh_machine_attempt (m, j)))
+    if (may_stop (wants, mh_machine_attempt (m, j)))
       g_ptr_array_add (able, mh_machine_attempt (m, j));
   g_ptr_array_sort_with_data (able, by_loss, core);
   g_ptr_array_set_size (victims, 0);
@@ -590,7 +581,7 @@
       MhSpace could;
       if (!admits (p, m))
         continue;
-      MhSpace x = mh_place_space (p->core, p->job, m, &could);
+      MhSpace x = mh_place_space (p->job, m, &could);
       if (enough (&x, s, 1)
           && mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb) <= wait_us)
         {
@@ -616,7 +607,7 @@
       MhSpace could;
       if (!admits (p, m))
         continue;
-      MhSpace x = mh_place_space (p->core, p->job, m, &could);
+      MhSpace x = mh_place_space (p->job, m, &could);
       if (!enough (&could, s, 1))
         continue;
       gint64 wait = mh_fleet_image_wait (p->core, m, p->job->image, s->image_gb);
@@ -636,7 +627,7 @@
      would be made: at the start of a day one service had eighty tasks stopped so. */
   if (better_wait (p, best_wait))
     return true;
-  MhSpace could, x = mh_place_space (p->core, p->job, best, &could);
+  MhSpace could, x = mh_place_space (p->job, best, &could);
   mh_place_victims (p->core, p->job, best, x, 1, victims);
   for (guint i = 0; i < victims->len; i++)
     {
--- a/src/place.h
+++ b/src/place.h
@@ -28,7 +28,7 @@
 MhSpace
 mh_place_free (const MhMachine *machine);
 MhSpace
-mh_place_space (const MhCore *core, const MhJob *wants, const MhMachine *machine, MhSpace *could);
+mh_place_space (const MhJob *wants, const MhMachine *machine, MhSpace *could);
 /* Those with the least loss whose end makes `x` enough for `n` tasks; returns what is lost. */
 double
 mh_place_victims (MhCore *core, const MhJob *wants, const MhMachine *machine, MhSpace x, guint n,
--- a/src/queue.c
+++ b/src/queue.c
@@ -11,9 +11,6 @@
    task: else the largest and the least would wait for ever behind a steady stream of small ones. */
 #define BEGIN_US (150 * MH_SECOND_US)
 
-/* Where no aim says how long work within a guarantee may wait. */
-#define GUARANTEE_WAIT_US (20 * MH_SECOND_US)
-
 static gint
 by_submission (gconstpointer a, gconstpointer b)
 {
@@ -200,19 +197,6 @@
   return jobs;
 }
 
-gint64
-mh_queue_guarantee_wait_us (const MhSettings *settings)
-{
-  gint64 least = GUARANTEE_WAIT_US;
-  for (guint i = 0; i < settings->objectives->len; i++)
-    {
-      const MhObjective *o = g_ptr_array_index (settings->objectives, i);
-      if (o->kind == MH_OBJECTIVE_GUARANTEE)
-        least = MIN (least, o->within_us);
-    }
-  return least;
-}
-
 /* How long a start of the job may still take, by the aims that hold for it. Once it is late there
    is no hurry. A guarantee without an aim means soon. */
 gint64
--- a/src/queue.h
+++ b/src/queue.h
@@ -9,9 +9,6 @@
    rest. */
 guint
 mh_queue_tier (const MhJob *job);
-/* How long work within a guarantee may wait for its start, by the aims. */
-gint64
-mh_queue_guarantee_wait_us (const MhSettings *settings);
 /* How long a start of the job may still take, by the aims that hold for it. */
 gint64
 mh_queue_patience_us (const MhCore *core, const MhJob *job);
