--- a/tests/test-limits.c
+++ b/tests/test-limits.c
@@ -39,18 +39,26 @@
   return sim->world->writes_refused > 0;
 }
 
-/* The rate falls without notice: the first refusal teaches it, for good, and no later leader has to
-   be refused, whichever process it is. */
-static void
-test_rate_for_good (void)
+/* The announced rate holds, and the leader has met it. */
+static Sim *
+sim_after_rate_fell (guint32 seed)
 {
-  Sim *sim = sim_new (1);
+  Sim *sim = sim_new (seed);
   announce_write_rps (sim);
   WAIT (sim, 20, has_leader, NULL);
   sim->world->write_rps = NEXT_WRITE_RPS;
   submit_many (sim, 1, 20);
   WAIT (sim, 30, refused, NULL);
   sim_run (sim, 20);
+  return sim;
+}
+
+/* The rate falls without notice: the first refusal teaches it, for good, and no later leader has to
+   be refused, whichever process it is. */
+static void
+test_rate_for_good (void)
+{
+  Sim *sim = sim_after_rate_fell (1);
   guint first_leader = sim->world->writes_refused;
   g_assert_cmpuint (first_leader, <=, 6); /* those that were under way together */
   g_assert_true (sim_logged (sim, "takes fewer changes"));
@@ -90,13 +98,7 @@
 static void
 test_rate_of_earlier_settings (void)
 {
-  Sim *sim = sim_new (3);
-  announce_write_rps (sim);
-  WAIT (sim, 20, has_leader, NULL);
-  sim->world->write_rps = NEXT_WRITE_RPS;
-  submit_many (sim, 1, 20);
-  WAIT (sim, 30, refused, NULL);
-  sim_run (sim, 20);
+  Sim *sim = sim_after_rate_fell (3);
   sim->world->write_rps = 0;
   for (guint i = 0; i < SIM_NODES; i++)
     {
