--- a/src/command.c
+++ b/src/command.c
@@ -143,8 +143,8 @@
       const MhOrphan *s = &g_array_index (m->orphans, MhOrphan, i);
       if (!s->ended)
         {
-          mh_info (core, "task %s/%u: stopping stray attempt %" G_GUINT64_FORMAT " on %s", s->job,
-                   s->index, s->attempt, m->name);
+          mh_info (core, "task %s/%u: stopping orphaned attempt %" G_GUINT64_FORMAT " on %s",
+                   s->job, s->index, s->attempt, m->name);
           add_command (commands, MH_COMMAND_STOP, s->job, s->index, s->attempt, 0);
           continue;
         }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -423,6 +423,17 @@
   g_ptr_array_add (core->commands_due, m);
 }
 
+void
+mh_fleet_send_stop (MhCore *core, MhAttempt *a, gint64 grace_us)
+{
+  if (a->stopping && grace_us >= a->grace_us)
+    return;
+  a->stopping = true;
+  a->grace_us = grace_us;
+  a->stop_sent_us = 0;
+  mh_fleet_send_commands (core, a->machine);
+}
+
 void
 mh_fleet_stop (MhCore *core, MhAttempt *a, gint64 grace_us)
 {
@@ -437,12 +448,7 @@
       mh_fleet_attempt_over (core, a, false);
       return;
     }
-  if (a->stopping && grace_us >= a->grace_us)
-    return;
-  a->stopping = true;
-  a->grace_us = grace_us;
-  a->stop_sent_us = 0;
-  mh_fleet_send_commands (core, a->machine);
+  mh_fleet_send_stop (core, a, grace_us);
 }
 
 void
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -147,6 +147,9 @@
 mh_fleet_returned (const MhCore *core, const char *name);
 MhAttempt *
 mh_fleet_attempt_new (MhCore *core, MhJob *job, guint index, guint32 attempt, MhMachine *machine);
+/* Tells the worker, unless it was told to end the attempt at least as soon. */
+void
+mh_fleet_send_stop (MhCore *core, MhAttempt *attempt, gint64 grace_us);
 /* A gang is stopped whole. */
 void
 mh_fleet_stop (MhCore *core, MhAttempt *attempt, gint64 grace_us);
--- a/src/gang.c
+++ b/src/gang.c
@@ -123,13 +123,8 @@
   for (guint i = 0; i < job->spec->tasks && job->n_live; i++)
     {
       MhAttempt *a = job->tasks[i].live;
-      gint64 grace = saves ? grace_us + core->settings->gang_peer_us : 0;
-      if (a == NULL || (a->stopping && grace >= a->grace_us))
-        continue;
-      a->stopping = true;
-      a->grace_us = grace;
-      a->stop_sent_us = 0;
-      mh_fleet_send_commands (core, a->machine);
+      if (a)
+        mh_fleet_send_stop (core, a, saves ? grace_us + core->settings->gang_peer_us : 0);
     }
   settle_later (core, job);
 }
@@ -158,12 +153,7 @@
       if (!a->start_sent && !a->loaded)
         mh_fleet_attempt_over (core, a, false);
       else if (!a->stopping)
-        {
-          a->stopping = true;
-          a->grace_us = 0;
-          a->stop_sent_us = 0;
-          mh_fleet_send_commands (core, a->machine);
-        }
+        mh_fleet_send_stop (core, a, 0);
     }
   if (job->n_live == 0)
     {
--- a/src/place.c
+++ b/src/place.c
@@ -935,5 +935,5 @@
   look_round (&pass);
   for (guint i = 0; i < queue->len; i++)
     place_job (&pass, g_ptr_array_index (queue, i));
-  /* A kill that freed room at once is used in the next pass. */
+  /* A stop that freed room at once is used in the next pass. */
 }
