--- a/tests/test-core.c
+++ b/tests/test-core.c
@@ -615,7 +615,7 @@
   WAIT (sim, 30, all_run, u);
   SimNode *leader = sim_leader (sim);
   guint other = (leader->index + 1) % SIM_NODES;
-  /* The other one starts afresh, deaf to its peers, with its first look at the leader's key lost.
+  /* The other one starts afresh, without its peers, with its first look at the leader's key lost.
    */
   sim->nodes[other].peers_cut_us = sim->now_us + 60 * MH_SECOND_US;
   for (guint i = 0; i < 200 && !u->told_done; i++)
