--- a/src/place.c
+++ b/src/place.c
@@ -477,7 +477,10 @@
     return false;
   if (holds->spec->priority < wants->spec->priority)
     return true;
-  return wants->guaranteed && strcmp (holds->spec->team, wants->spec->team) != 0;
+  /* One task costs the whole gang, which is placed again as soon as there is room: for a guarantee
+     alone a gang was stopped forty times in a row, and each time for a part of its room. */
+  return wants->guaranteed && !mh_gang_is (holds)
+         && strcmp (holds->spec->team, wants->spec->team) != 0;
 }
 
 double
--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -491,6 +491,29 @@
   finish (sim);
 }
 
+/* A gang runs beyond its team's guarantee, and another team's work within one wants its room: one
+   task would cost the whole gang. It ends by itself, and then the other has its turn. */
+static void
+test_not_stopped_for_a_guarantee_alone (void)
+{
+  Sim *sim = sim_new (87);
+  sim->world->capacity = 0;
+  for (guint i = 0; i < 3; i++)
+    world_add_machine (sim->world, "small", "a", false);
+  MhJobSpec *s = gang_spec (1, 6, 2); /* 12 cpus, of which 8 are guaranteed */
+  s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
+  SimUser *u = sim_submit (sim, s, 25);
+  WAIT (sim, 60, runs, u);
+  SimUser *other = sim_submit (sim, sim_spec (2, MH_SHAPE_ARRAY, 2, 2), 3);
+  sim_run (sim, 15);
+  g_assert_cmpuint (u->job->running_attempt, ==, 1);
+  g_assert_cmpuint (u->job->saves, ==, 0);
+  WAIT (sim, 30, told_done, u);
+  WAIT (sim, 30, told_done, other);
+  g_assert_cmpuint (sim->world->starts, ==, 8);
+  finish (sim);
+}
+
 /* Nothing is there: as many machines as the whole gang needs are rented in one zone, and it starts
    when the last of them is up. */
 static void
@@ -595,6 +618,7 @@
   ADD ("cancel", test_cancel);
   ADD ("orderly-stop", test_orderly_stop);
   ADD ("order-of-victims", test_order_of_victims);
+  ADD ("not-stopped-for-a-guarantee-alone", test_not_stopped_for_a_guarantee_alone);
   ADD ("rented-whole", test_rented_whole);
   ADD ("notice", test_notice);
   ADD ("late-image", test_late_image);
