--- a/tests/steps.c
+++ b/tests/steps.c
@@ -71,6 +71,13 @@
   return NULL;
 }
 
+void
+add_small_machines (Sim *sim, guint count)
+{
+  for (guint i = 0; i < count; i++)
+    world_add_machine (sim->world, "small", "a", false);
+}
+
 SimUser *
 running_service (Sim *sim, guint number, guint tasks)
 {
--- a/tests/steps.h
+++ b/tests/steps.h
@@ -24,6 +24,9 @@
 sim_worker (Sim *sim, guint index);
 SimWorker *
 worker_of (Sim *sim, const char *leg);
+/* Machines of four cpus, all in zone a. */
+void
+add_small_machines (Sim *sim, guint count);
 SimUser *
 running_service (Sim *sim, guint number, guint tasks);
 /* An array that is expected to run for long, so that none of its tasks waits for another. */
--- a/tests/test-gang.c
+++ b/tests/test-gang.c
@@ -55,8 +55,7 @@
 test_done_together (void)
 {
   Sim *sim = sim_new (13);
-  for (guint i = 0; i < 3; i++)
-    world_add_machine (sim->world, "small", "a", false);
+  add_small_machines (sim, 3);
   MhJobSpec *s = gang_spec (1, 6, 2);
   s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
   SimUser *u = sim_submit (sim, s, 8);
@@ -178,8 +177,7 @@
   for (guint how = 0; how < 5; how++)
     {
       Sim *sim = sim_new (6 + how);
-      for (guint i = 0; i < 6; i++)
-        world_add_machine (sim->world, "small", "a", false);
+      add_small_machines (sim, 6);
       MhJobSpec *s = gang_spec (1, 6, 2);
       s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
       SimUser *u = sim_submit (sim, s, 25);
@@ -206,8 +204,7 @@
 gang_on_small_machines (Sim *sim, guint machines, double run_s)
 {
   sim->world->capacity = 0;
-  for (guint i = 0; i < machines; i++)
-    world_add_machine (sim->world, "small", "a", false);
+  add_small_machines (sim, machines);
   MhJobSpec *spec = gang_spec (1, 4, 2);
   spec->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
   return sim_submit (sim, spec, run_s);
@@ -395,8 +392,7 @@
 test_task_fails (void)
 {
   Sim *sim = sim_new (12);
-  for (guint i = 0; i < 4; i++)
-    world_add_machine (sim->world, "small", "a", false);
+  add_small_machines (sim, 4);
   MhJobSpec *s = gang_spec (1, 4, 2);
   s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
   SimUser *u = sim_submit (sim, s, 15);
@@ -498,8 +494,7 @@
 {
   Sim *sim = sim_new (87);
   sim->world->capacity = 0;
-  for (guint i = 0; i < 3; i++)
-    world_add_machine (sim->world, "small", "a", false);
+  add_small_machines (sim, 3);
   MhJobSpec *s = gang_spec (1, 6, 2); /* 12 cpus, of which 8 are guaranteed */
   s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
   SimUser *u = sim_submit (sim, s, 25);
@@ -543,8 +538,7 @@
   for (guint enough = 0; enough < 2; enough++)
     {
       Sim *sim = sim_new (83 + enough);
-      for (guint i = 0; i < 3; i++)
-        world_add_machine (sim->world, "small", "a", false);
+      add_small_machines (sim, 3);
       MhJobSpec *s = gang_spec (1, 4, 2);
       s->types = g_strdupv ((char **)(const char *[]){ "small", NULL });
       SimUser *u = sim_submit (sim, s, 30);
--- a/tests/test-versions.c
+++ b/tests/test-versions.c
@@ -83,8 +83,7 @@
 add_machines (Sim *sim)
 {
   sim->world->capacity = 0;
-  for (guint i = 0; i < 2 * GANG_TASKS; i++)
-    world_add_machine (sim->world, "small", "a", false);
+  add_small_machines (sim, 2 * GANG_TASKS);
 }
 
 static bool
