Status lines and metrics that tell why users are not answered

When questions got no answer at about 4,000 machines, no log could tell whether no controller led, a leader was loading or had a lapsed lease, reads waited, or the main loop was late.

Every controller now logs its role, lease, queues (depth and oldest age) and the reasons of its 503s every ten seconds, the process its main loop lag, response times and connections; a new leader logs what it read up to which revision. The same values are served as GET /metrics on an address that only the operator's file sets, at most four connections at a time; other methods get 405. Nothing on the published interfaces changes.

--- a/src/base/time-units.h
+++ b/src/base/time-units.h
@@ -9,3 +9,10 @@
  * One second, in microseconds.
  */
 #define MH_SECOND_US ((gint64)1000000)
+
+/**
+ * MH_MILLISECOND_US:
+ *
+ * One millisecond, in microseconds.
+ */
+#define MH_MILLISECOND_US ((gint64)1000)
--- a/src/controller/core-private.h
+++ b/src/controller/core-private.h
@@ -42,6 +42,7 @@
 
   GHashTable
       *forwarded_requests; /* request id -> job id: forwarded to the leader, response pending */
+  gint64 status_due_us;    /* when the next status line is logged */
 };
 
 /* ---- callbacks for the layers below ---- */
@@ -90,6 +91,15 @@
 void
 mh_core_update_recovery (MhCore *core);
 
+/**
+ * mh_core_log_status_if_due:
+ * @core: a controller
+ *
+ * Logs the periodic status line; see controller/status.h.
+ */
+void
+mh_core_log_status_if_due (MhCore *core);
+
 /* ---- users' requests ---- */
 
 /**
--- a/src/controller/core.c
+++ b/src/controller/core.c
@@ -29,6 +29,7 @@
       mh_record_writer_step (core->record_writer);
     }
   mh_call_queue_flush (core->calls);
+  mh_core_log_status_if_due (core);
 }
 
 /* ---- inputs ---- */
@@ -123,11 +124,16 @@
          && mono_us >= action->lease_until_us)
     {
       reject_action (action);
+      if (action->kind == MH_ACTION_RESPOND_TO_USER)
+        mh_runtime_count (core->runtime, MH_COUNTER_RESPONSE_AFTER_LEASE);
       if (action->kind != MH_ACTION_SEND_REQUEST)
         break;
       mh_call_queue_complete (core->calls, action->id, &(MhCallResponse){ .status = 0 });
       mh_action_free (action);
     }
+  if (action && action->kind == MH_ACTION_RESPOND_TO_USER
+      && action->response.status != STATUS_UNAVAILABLE)
+    mh_runtime_count (core->runtime, MH_COUNTER_ANSWERED);
   return action;
 }
 
--- a/src/controller/leadership.c
+++ b/src/controller/leadership.c
@@ -38,7 +38,8 @@
     {
       GArray *waiters = ((MhJob *)job)->waiters;
       for (guint i = 0; i < waiters->len; i++)
-        mh_runtime_respond_to_user (core->runtime, g_array_index (waiters, MhWaiter, i).id, 503, 1);
+        mh_runtime_respond_unavailable (core->runtime, g_array_index (waiters, MhWaiter, i).id,
+                                        MH_COUNTER_REJECTED_WAITER);
       g_array_set_size (waiters, 0);
     }
 }
--- a/src/controller/user-requests.c
+++ b/src/controller/user-requests.c
@@ -12,15 +12,13 @@
 
 /* A user stops waiting for a response after 2 s, so a forwarded request must end earlier. */
 #define FORWARD_TIMEOUT_US (MH_SECOND_US * 3 / 2)
-#define RETRY_AFTER_S 1u
 
 enum
 {
   STATUS_OK = 200,
   STATUS_CREATED = 201,
   STATUS_BAD_REQUEST = 400,
-  STATUS_UNPROCESSABLE = 422,
-  STATUS_UNAVAILABLE = 503
+  STATUS_UNPROCESSABLE = 422
 };
 
 /* ---- responses ---- */
@@ -31,12 +29,6 @@
   mh_runtime_add_action (core->runtime, MH_ACTION_RESPOND_TO_USER, id)->response = *response;
 }
 
-static void
-respond_unavailable (MhCore *core, guint64 id)
-{
-  mh_runtime_respond_to_user (core->runtime, id, STATUS_UNAVAILABLE, RETRY_AFTER_S);
-}
-
 static void
 respond_with_job_state (MhCore *core, guint64 id, const MhJob *job)
 {
@@ -85,7 +77,7 @@
       mh_runtime_respond_to_user (core->runtime, request->id, STATUS_BAD_REQUEST, 0);
       break;
     case MH_ADMISSION_UNDECIDED:
-      respond_unavailable (core, request->id);
+      mh_runtime_respond_unavailable (core->runtime, request->id, MH_COUNTER_UNDECIDED);
       break;
     }
 }
@@ -155,6 +147,21 @@
                     == MH_ADMISSION_IMPOSSIBLE);
 }
 
+static MhCounter
+get_unavailable_reason (const MhCore *core)
+{
+  switch (mh_election_state (core->election))
+    {
+    case MH_LEADERSHIP_LOADING:
+      return MH_COUNTER_LOADING;
+    case MH_LEADERSHIP_LEADING:
+    case MH_LEADERSHIP_STEPPING_DOWN:
+      return MH_COUNTER_LEASE_LAPSED;
+    default:
+      return MH_COUNTER_NO_LEADER;
+    }
+}
+
 /* Also handles the requests that reach a leader whose lease has lapsed: the outcome of its last
    writes may be unknown to it, so that it answers with final states only. */
 static void
@@ -170,7 +177,7 @@
     mh_job_lookup_ask (core->job_lookup, request->id, request->job_id, request->verb,
                        MH_LOOKUP_LEADERLESS);
   else
-    respond_unavailable (core, request->id);
+    mh_runtime_respond_unavailable (core->runtime, request->id, get_unavailable_reason (core));
 }
 
 /* ---- as leader ---- */
@@ -182,7 +189,7 @@
   const MhUserResponse *final_response
       = mh_final_state_cache_find (core->final_states, request->job_id);
   if (mh_record_loader_is_unreadable (core->record_loader, request->job_id))
-    respond_unavailable (core, request->id);
+    mh_runtime_respond_unavailable (core->runtime, request->id, MH_COUNTER_UNREADABLE);
   else if (request->verb == MH_USER_SUBMIT)
     submit (core, request);
   else if (job == NULL && final_response)
@@ -243,5 +250,5 @@
                        "leader did not answer a forwarded request leader=%s",
                        leader ? leader : "unknown");
   mh_election_note_forward_failed (core->election);
-  respond_unavailable (core, id);
+  mh_runtime_respond_unavailable (core->runtime, id, MH_COUNTER_LEADER_SILENT);
 }
--- a/src/election/campaign.c
+++ b/src/election/campaign.c
@@ -53,6 +53,7 @@
       return;
     }
   mh_election_apply_event (election, MH_LEADERSHIP_EVENT_ELECTED);
+  mh_runtime_count (election->runtime, MH_COUNTER_ELECTIONS);
   mh_election_set_leader (election, mh_runtime_settings (election->runtime)->node_name);
   election->own_key_version = election->leader_key_version = key_version;
   election->leader_epoch = election->own_epoch;
--- a/src/election/election.c
+++ b/src/election/election.c
@@ -79,6 +79,7 @@
           election->runtime,
           "lease renewed after it had lapsed, leadership continues epoch=%" G_GUINT64_FORMAT,
           election->own_epoch);
+      mh_runtime_count (election->runtime, MH_COUNTER_LEASE_LAPSES);
       election->callbacks->renewed_after_lapse (election->owner, election->lease.last_renewal_us);
     }
   mh_lease_confirm (&election->lease, election->lease_request_sent_us, lease_us);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -111,6 +111,7 @@
  * re-chunked, it becomes durable only when the new layout is in force
  * @refused_until_us: monotonic time before which the record is not written again after the store
  * has refused it, in microseconds
+ * @queued_us: monotonic time at which it was added to that queue, in microseconds
  * @queue_link: its link in the queue
  *
  * A record of a job, as memory and the key-value store hold it.
@@ -128,6 +129,7 @@
   guint64 durable_revision;
   guint64 rechunked_revision;
   gint64 refused_until_us;
+  gint64 queued_us;
   GList queue_link;
 };
 
--- a/src/protocol/key-value-messages.c
+++ b/src/protocol/key-value-messages.c
@@ -1,7 +1,7 @@
 #include "protocol/key-value-messages.h"
-#include "protocol/field.h"
 
-#define MILLISECOND_US 1000
+#include "base/time-units.h"
+#include "protocol/field.h"
 
 /* Field names that several messages use. The protocol calls the version of a key "stamp", the
    store's revision "ledger" and the id of a lease "claim". */
@@ -187,7 +187,7 @@
 mh_kv_request_grant_lease (gint64 ttl_us)
 {
   MhValue *body = mh_value_new_map ();
-  mh_value_set_uint (body, "life_ms", (guint64)(ttl_us / MILLISECOND_US));
+  mh_value_set_uint (body, "life_ms", (guint64)(ttl_us / MH_MILLISECOND_US));
   return request_new ("POST", g_strdup ("/grants"), body);
 }
 
@@ -210,6 +210,6 @@
 {
   char *path
       = g_strdup_printf ("/watch?starts=%s&since=%" G_GUINT64_FORMAT "&hold_ms=%" G_GINT64_FORMAT,
-                         prefix, since, timeout_us / MILLISECOND_US);
+                         prefix, since, timeout_us / MH_MILLISECOND_US);
   return request_new ("GET", path, NULL);
 }
--- a/src/runtime/call-queue.c
+++ b/src/runtime/call-queue.c
@@ -28,6 +28,7 @@
 {
   guint64 id;
   MhRequest *request;
+  gint64 queued_us;
   gint64 timeout_us;
   double changes;
 } QueuedCall;
@@ -110,11 +111,12 @@
 }
 
 static QueuedCall *
-queued_call_new (guint64 id, MhRequest *request, const MhCallOptions *options)
+queued_call_new (guint64 id, MhRequest *request, const MhCallOptions *options, gint64 now_us)
 {
   QueuedCall *queued = g_new0 (QueuedCall, 1);
   queued->id = id;
   queued->request = request;
+  queued->queued_us = now_us;
   queued->timeout_us = options->timeout_us;
   queued->changes = options->changes;
   return queued;
@@ -129,7 +131,7 @@
   pending->options = *options;
   g_hash_table_insert (queue->pending, g_memdup2 (&id, sizeof id), pending);
   g_queue_push_tail (queue_for (queue, request->target, options->class),
-                     queued_call_new (id, request, options));
+                     queued_call_new (id, request, options, mh_runtime_now_us (queue->runtime)));
 }
 
 void
@@ -165,6 +167,19 @@
   return queue->store_queue[class].length;
 }
 
+MhBacklog
+mh_call_queue_get_backlog (const MhCallQueue *queue, MhTarget target, MhCallClass class)
+{
+  g_return_val_if_fail (queue && (guint) class < MH_CALL_CLASSES, (MhBacklog){ 0 });
+  const GQueue *waiting = target == MH_TARGET_KEY_VALUE_STORE ? &queue->store_queue[class]
+                          : target == MH_TARGET_CLOUD         ? &queue->cloud_queue[class]
+                                                              : &queue->worker_queue;
+  const QueuedCall *oldest = waiting->head ? waiting->head->data : NULL;
+  return (MhBacklog){ .waiting = waiting->length,
+                      .oldest_age_us
+                      = oldest ? mh_runtime_now_us (queue->runtime) - oldest->queued_us : 0 };
+}
+
 /* ---- sending ---- */
 
 /* Commands to workers and calls that change something in the cloud carry the end of the leader
--- a/src/runtime/call-queue.h
+++ b/src/runtime/call-queue.h
@@ -7,6 +7,7 @@
    its leader lease. */
 #pragma once
 
+#include "runtime/backlog.h"
 #include "runtime/runtime.h"
 
 /** MhCallQueue: the calls of this controller, and the token buckets that limit their rate */
@@ -150,6 +151,17 @@
 guint
 mh_call_queue_count_waiting (const MhCallQueue *queue, MhCallClass class);
 
+/**
+ * mh_call_queue_get_backlog:
+ * @queue: a queue
+ * @target: what the calls go to
+ * @class: a class of calls; calls to workers have no classes
+ *
+ * Returns: the calls that have not been sent yet
+ */
+MhBacklog
+mh_call_queue_get_backlog (const MhCallQueue *queue, MhTarget target, MhCallClass class);
+
 /* ---- limits of the key-value store ---- */
 
 /**
--- a/src/runtime/runtime.c
+++ b/src/runtime/runtime.c
@@ -7,6 +7,9 @@
 #define REGULAR_STEP_INTERVAL_US (MH_SECOND_US / 2)
 /* Shortest time between two log lines on the same subject. */
 #define LOG_INTERVAL_US MH_SECOND_US
+#define STATUS_UNAVAILABLE 503u
+/* After how long a user who got a 503 should retry. */
+#define RETRY_AFTER_S 1u
 
 struct MhRuntime
 {
@@ -19,6 +22,7 @@
   guint64 last_id;
   GQueue actions;
   gint64 next_log_us[MH_LOG_SUBJECTS];
+  guint64 counts[MH_COUNTERS];
 };
 
 MhRuntime *
@@ -166,6 +170,29 @@
   return g_queue_pop_head (&runtime->actions);
 }
 
+/* ---- counters ---- */
+
+void
+mh_runtime_count (MhRuntime *runtime, MhCounter counter)
+{
+  g_return_if_fail ((guint)counter < MH_COUNTERS);
+  runtime->counts[counter]++;
+}
+
+guint64
+mh_runtime_get_count (const MhRuntime *runtime, MhCounter counter)
+{
+  g_return_val_if_fail ((guint)counter < MH_COUNTERS, 0);
+  return runtime->counts[counter];
+}
+
+void
+mh_runtime_respond_unavailable (MhRuntime *runtime, guint64 id, MhCounter reason)
+{
+  mh_runtime_count (runtime, reason);
+  mh_runtime_respond_to_user (runtime, id, STATUS_UNAVAILABLE, RETRY_AFTER_S);
+}
+
 /* ---- log ---- */
 
 void
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "runtime/action.h"
+#include "runtime/counter.h"
 #include "settings/settings.h"
 
 /**
@@ -251,6 +252,39 @@
 MhAction *
 mh_runtime_pop_action (MhRuntime *runtime);
 
+/* ---- counters ---- */
+
+/**
+ * mh_runtime_count:
+ * @runtime: a runtime
+ * @counter: a counter
+ *
+ * Adds one to the counter.
+ */
+void
+mh_runtime_count (MhRuntime *runtime, MhCounter counter);
+
+/**
+ * mh_runtime_get_count:
+ * @runtime: a runtime
+ * @counter: a counter
+ *
+ * Returns: the value of the counter
+ */
+guint64
+mh_runtime_get_count (const MhRuntime *runtime, MhCounter counter);
+
+/**
+ * mh_runtime_respond_unavailable:
+ * @runtime: a runtime
+ * @id: number of the user's request
+ * @reason: one of the counters of requests that were answered 503
+ *
+ * Answers a user's request with 503 and Retry-After, and counts the reason.
+ */
+void
+mh_runtime_respond_unavailable (MhRuntime *runtime, guint64 id, MhCounter reason);
+
 /* ---- log ---- */
 
 /**
--- a/src/server/http-client.c
+++ b/src/server/http-client.c
@@ -1,9 +1,10 @@
 #include "server/http-client.h"
 
+#include "base/time-units.h"
+
 #include <libsoup/soup.h>
 
 #define CBOR_MEDIA_TYPE "application/cbor"
-#define MILLISECOND_US 1000
 /* Limit of open connections to the key-value store, and likewise to the cloud. */
 #define CONNECTIONS_PER_HOST 16u
 #define IDLE_TIMEOUT_S 30u
@@ -187,7 +188,7 @@
   call->id = id;
   call->message = message;
   call->cancellable = g_cancellable_new ();
-  call->timeout_source = g_timeout_add ((guint)(timeout_us / MILLISECOND_US), on_timeout, call);
+  call->timeout_source = g_timeout_add ((guint)(timeout_us / MH_MILLISECOND_US), on_timeout, call);
   SoupSession *session
       = request->target == MH_TARGET_WORKER ? get_worker_session (client) : client->session;
   soup_session_send_and_read_async (session, message, G_PRIORITY_DEFAULT, call->cancellable,
--- a/src/server/http-listener.c
+++ b/src/server/http-listener.c
@@ -43,6 +43,12 @@
   return self->connections > WORKER_KEEP_ALIVE_SHARE * self->max_connections;
 }
 
+guint
+mh_http_listener_count_connections (const MhHttpListener *self)
+{
+  return self->connections;
+}
+
 MhConnectionGroup *
 mh_http_listener_get_current_group (const MhHttpListener *self)
 {
--- a/src/server/http-listener.h
+++ b/src/server/http-listener.h
@@ -60,6 +60,15 @@
 bool
 mh_http_listener_is_near_connection_limit (const MhHttpListener *self);
 
+/**
+ * mh_http_listener_count_connections:
+ * @self: a listener
+ *
+ * Returns: the number of open connections
+ */
+guint
+mh_http_listener_count_connections (const MhHttpListener *self);
+
 /**
  * mh_http_listener_get_current_group:
  * @self: a listener
--- a/src/server/http-server.c
+++ b/src/server/http-server.c
@@ -262,6 +262,12 @@
   return self;
 }
 
+guint
+mh_http_server_count_connections (const MhHttpServer *self)
+{
+  return mh_http_listener_count_connections (self->listener);
+}
+
 void
 mh_http_server_free (MhHttpServer *self)
 {
--- a/src/server/http-server.h
+++ b/src/server/http-server.h
@@ -65,6 +65,15 @@
 mh_http_server_listen (MhHttpServer *self, GSocketAddress *address, guint max_connections,
                        GError **error);
 
+/**
+ * mh_http_server_count_connections:
+ * @self: a server that listens
+ *
+ * Returns: the number of open connections of users and workers
+ */
+guint
+mh_http_server_count_connections (const MhHttpServer *self);
+
 /**
  * mh_http_server_respond_to_user:
  * @self: a server
--- /dev/null
+++ b/src/server/metrics-text.h
@@ -0,0 +1,36 @@
+/* The metrics of a controller in the text exposition format of Prometheus, version 0.0.4.
+   docs/operations.md ("Metrics") lists their names. */
+#pragma once
+
+#include "controller/status.h"
+#include "server/process-stats.h"
+
+/**
+ * MhMetrics:
+ * @node: (transfer none): name of this controller
+ * @status: its state
+ * @counts: its counters
+ * @process: measurements of the process
+ * @connections: open connections of users and workers
+ * @pending_requests: requests that have not been answered yet
+ *
+ * What the metrics are made of.
+ */
+typedef struct
+{
+  const char *node;
+  MhStatus status;
+  guint64 counts[MH_COUNTERS];
+  MhProcessStats process;
+  guint connections;
+  guint pending_requests;
+} MhMetrics;
+
+/**
+ * mh_metrics_format:
+ * @metrics: values
+ *
+ * Returns: (transfer full): the text
+ */
+char *
+mh_metrics_format (const MhMetrics *metrics);
--- a/src/server/pending-request.c
+++ b/src/server/pending-request.c
@@ -43,6 +43,7 @@
   MhPendingRequest *request = g_new0 (MhPendingRequest, 1);
   request->table = table;
   request->id = ++table->last_id;
+  request->received_us = g_get_monotonic_time ();
   g_hash_table_insert (table->requests, &request->id, request);
   return request;
 }
@@ -84,6 +85,12 @@
   return g_hash_table_lookup (table->requests, &id);
 }
 
+guint
+mh_pending_requests_count (const MhPendingRequests *table)
+{
+  return g_hash_table_size (table->requests);
+}
+
 void
 mh_pending_requests_remove (MhPendingRequests *table, guint64 id)
 {
--- a/src/server/pending-request.h
+++ b/src/server/pending-request.h
@@ -18,6 +18,7 @@
 /**
  * MhPendingRequest:
  * @id: id of the request, unique in this process
+ * @received_us: monotonic time at which the whole request had arrived, in microseconds
  * @verb: what the user requests; 0: a worker's heartbeat
  * @job: (nullable): id of the job that the user's request is about
  * @body: (nullable): body of a submission, as it was received
@@ -35,6 +36,7 @@
 typedef struct
 {
   guint64 id;
+  gint64 received_us;
   MhUserVerb verb;
   char *job;
   GBytes *body;
@@ -101,6 +103,15 @@
 MhPendingRequest *
 mh_pending_requests_lookup (MhPendingRequests *table, guint64 id);
 
+/**
+ * mh_pending_requests_count:
+ * @table: a table
+ *
+ * Returns: the number of pending requests
+ */
+guint
+mh_pending_requests_count (const MhPendingRequests *table);
+
 /**
  * mh_pending_requests_remove:
  * @table: a table
--- a/src/server/polled-context.c
+++ b/src/server/polled-context.c
@@ -1,12 +1,13 @@
 #include "server/polled-context.h"
 
+#include "base/time-units.h"
+
 /* Iterations of one context in a row, before the other contexts have their turn. */
 #define MAX_ITERATIONS_PER_TURN 8u
 /* Descriptors that a query holds without an allocation. */
 #define INLINE_DESCRIPTORS 16
 /* Interval at which a context is iterated while epoll refuses one of its descriptors. */
 #define UNWATCHED_POLL_INTERVAL_US (G_USEC_PER_SEC / 2)
-#define MILLISECOND_US 1000
 
 struct MhPolledContext
 {
@@ -175,6 +176,6 @@
   if (self->has_unwatched)
     return g_get_monotonic_time () + UNWATCHED_POLL_INTERVAL_US;
   if (query.timeout_ms > 0)
-    return g_get_monotonic_time () + (gint64)query.timeout_ms * MILLISECOND_US;
+    return g_get_monotonic_time () + (gint64)query.timeout_ms * MH_MILLISECOND_US;
   return MH_POLLED_CONTEXT_NOT_DUE;
 }
--- a/src/server/request-forwarder.c
+++ b/src/server/request-forwarder.c
@@ -1,13 +1,12 @@
 #include "server/request-forwarder.h"
 
+#include "base/time-units.h"
 #include "protocol/user-messages.h"
 #include "protocol/controller-messages.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
 
-#define MILLISECOND_US 1000
-
 struct MhRequestForwarder
 {
   MhPendingRequests *requests;
@@ -72,7 +71,7 @@
   timeout->request = request;
   request->forwarded_to = connection;
   request->forward_timeout = g_timeout_add_full (
-      G_PRIORITY_DEFAULT, (guint)(timeout_us / MILLISECOND_US), on_timeout, timeout, g_free);
+      G_PRIORITY_DEFAULT, (guint)(timeout_us / MH_MILLISECOND_US), on_timeout, timeout, g_free);
   mh_peer_connection_send (connection, mh_controller_request_encode (request->id, request->verb,
                                                                      request->job, request->body));
 }
--- a/src/server/server.c
+++ b/src/server/server.c
@@ -4,12 +4,18 @@
 #include "server/http-client.h"
 #include "server/http-server.h"
 #include "server/log-output.h"
+#include "server/metrics-server.h"
+#include "server/metrics-text.h"
 #include "server/peer-network.h"
 #include "server/pending-request.h"
 #include "server/process-clock.h"
+#include "server/process-stats.h"
 #include "server/request-forwarder.h"
 #include "server/socket-address.h"
 
+/* Interval between two status lines of the process. */
+#define STATUS_INTERVAL_S 10u
+
 typedef struct
 {
   const MhSettings *settings;
@@ -20,6 +26,9 @@
   MhHttpClient *http_client;
   MhPeerNetwork *peers;
   MhRequestForwarder *forwarder;
+  MhMetricsServer *metrics_server; /* NULL: not set up */
+  MhProcessStats stats;
+  guint status_timer;
   GSource *timer;   /* ready at the controller's next wake-up */
   bool dispatching; /* dispatch_actions() runs */
 } Server;
@@ -52,12 +61,23 @@
         connection, mh_controller_announcement_encode (server->settings->node_name, action->id));
 }
 
+static void
+note_response (Server *server, const MhPendingRequest *request, const MhAction *action)
+{
+  MhResponseKind kind = request->message == NULL                    ? MH_RESPONSE_FORWARDED
+                        : action->kind == MH_ACTION_RESPOND_TO_USER ? MH_RESPONSE_USER
+                                                                    : MH_RESPONSE_HEARTBEAT;
+  mh_process_stats_note_response (&server->stats, kind,
+                                  g_get_monotonic_time () - request->received_us);
+}
+
 static void
 respond_to_request (Server *server, const MhAction *action)
 {
   const MhPendingRequest *request = mh_pending_requests_lookup (server->requests, action->id);
   if (request == NULL)
     return; /* the connection of the user or worker has ended */
+  note_response (server, request, action);
   if (request->message == NULL)
     {
       if (request->peer)
@@ -231,11 +251,48 @@
 {
   Server *server = data;
   MhNow now = mh_process_clock_read (server->clock);
+  gint64 due_us = mh_core_next_wake_up_us (server->core);
+  if (due_us > 0) /* not the first wake-up */
+    mh_process_stats_note_lag (&server->stats, now.mono_us - due_us);
   mh_core_tick (server->core, &now);
   dispatch_actions (server);
   return G_SOURCE_CONTINUE;
 }
 
+/* ---- for the operator ---- */
+
+static gboolean
+log_process_status (gpointer data)
+{
+  Server *server = data;
+  const MhProcessStats *stats = &server->stats;
+  const MhResponseStats *responses = stats->responses;
+  g_info ("process status main_loop_lag_ms=%d user_response_ms=%d forwarded_response_ms=%d "
+          "heartbeat_response_ms=%d connections=%u pending_requests=%u",
+          (int)(stats->recent_max_lag_us / MH_MILLISECOND_US),
+          (int)(responses[MH_RESPONSE_USER].recent_max_us / MH_MILLISECOND_US),
+          (int)(responses[MH_RESPONSE_FORWARDED].recent_max_us / MH_MILLISECOND_US),
+          (int)(responses[MH_RESPONSE_HEARTBEAT].recent_max_us / MH_MILLISECOND_US),
+          mh_http_server_count_connections (server->http_server),
+          mh_pending_requests_count (server->requests));
+  mh_process_stats_reset_recent (&server->stats);
+  return G_SOURCE_CONTINUE;
+}
+
+static char *
+format_metrics (gpointer data)
+{
+  const Server *server = data;
+  MhMetrics metrics = { .node = server->settings->node_name,
+                        .process = server->stats,
+                        .connections = mh_http_server_count_connections (server->http_server),
+                        .pending_requests = mh_pending_requests_count (server->requests) };
+  mh_core_get_status (server->core, &metrics.status);
+  for (guint i = 0; i < MH_COUNTERS; i++)
+    metrics.counts[i] = mh_core_get_count (server->core, (MhCounter)i);
+  return mh_metrics_format (&metrics);
+}
+
 /* ---- start ---- */
 
 static gboolean
@@ -260,6 +317,8 @@
   if (server->timer)
     g_source_destroy (server->timer);
   g_clear_pointer (&server->timer, g_source_unref);
+  g_clear_handle_id (&server->status_timer, g_source_remove);
+  mh_metrics_server_free (server->metrics_server);
   mh_http_server_free (server->http_server);
   mh_peer_network_free (server->peers);
   mh_http_client_free (server->http_client);
@@ -270,6 +329,23 @@
 }
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (Server, server_clear)
 
+static bool
+listen_for_metrics (Server *server, GError **error)
+{
+  if (server->settings->metrics == NULL)
+    return true;
+  g_autoptr (GSocketAddress) address = mh_socket_address_parse (server->settings->metrics);
+  if (address == NULL)
+    {
+      g_set_error_literal (
+          error, MH_SETTINGS_ERROR, MH_SETTINGS_ERROR_INVALID,
+          "metrics is not an IP address; expected ADDRESS:PORT without a host name");
+      return false;
+    }
+  server->metrics_server = mh_metrics_server_new (address, format_metrics, server, error);
+  return server->metrics_server != NULL;
+}
+
 static bool
 listen_on_all (Server *server, GError **error)
 {
@@ -283,7 +359,8 @@
           "front or peer_bind is not an IP address; expected ADDRESS:PORT without a host name");
       return false;
     }
-  if (!mh_http_server_listen (server->http_server, front, settings->max_connections, error))
+  if (!mh_http_server_listen (server->http_server, front, settings->max_connections, error)
+      || !listen_for_metrics (server, error))
     return false;
   server->peers = mh_peer_network_new (settings->members, peer_bind, &peer_handlers, server, error);
   return server->peers != NULL;
@@ -298,6 +375,7 @@
   g_source_set_callback (server->timer, on_wake_up, server, NULL);
   g_source_set_ready_time (server->timer, 0);
   g_source_attach (server->timer, NULL);
+  server->status_timer = g_timeout_add_seconds (STATUS_INTERVAL_S, log_process_status, server);
 }
 
 bool
--- a/src/settings/operator-file.c
+++ b/src/settings/operator-file.c
@@ -99,6 +99,11 @@
   read_time (file, "lease_s", &settings->leader_lease_us);
   read_time (file, "silence_s", &settings->silence_limit_us);
   read_time (file, "idle_s", &settings->idle_limit_us);
+  if (is_set (file, "metrics"))
+    {
+      g_free (settings->metrics);
+      settings->metrics = g_strdup (cfg_getstr (file, "metrics"));
+    }
   if (is_set (file, "direct"))
     settings->direct_commands = cfg_getbool (file, "direct");
   if (!read_count (file, "batch", 2, &settings->max_batch, error)
@@ -133,6 +138,7 @@
                           CFG_INT ("batch", 0, CFGF_NODEFAULT),
                           CFG_INT ("max_skew", 0, CFGF_NODEFAULT),
                           CFG_STR ("when_unsatisfiable", NULL, CFGF_NODEFAULT),
+                          CFG_STR ("metrics", NULL, CFGF_NODEFAULT),
                           CFG_BOOL ("direct", cfg_true, CFGF_NODEFAULT),
                           CFG_SEC ("spread", spread_options, CFGF_MULTI | CFGF_TITLE),
                           CFG_END () };
--- a/src/settings/settings-check.c
+++ b/src/settings/settings-check.c
@@ -72,6 +72,7 @@
          && check_address ("peer_bind", settings->peer_bind, error)
          && check_address ("endpoints.cloud", settings->cloud, error)
          && check_address ("endpoints.state", settings->key_value_store, error)
+         && (settings->metrics == NULL || check_address ("metrics", settings->metrics, error))
          && check_members (settings, error);
 }
 
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -72,6 +72,7 @@
   g_free (settings->peer_bind);
   g_free (settings->cloud);
   g_free (settings->key_value_store);
+  g_free (settings->metrics);
   g_ptr_array_unref (settings->members);
   g_ptr_array_unref (settings->teams);
   g_ptr_array_unref (settings->objectives);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -176,6 +176,8 @@
  *   when_unsatisfiable)
  * @direct_commands: whether commands are also sent to workers directly, not only in responses to
  * their heartbeats (operator: direct)
+ * @metrics: (nullable): "ADDRESS:PORT" on which it serves its metrics (operator: metrics); %NULL:
+ * not served
  * @spread_rules: (element-type MhSpreadRule): rules of single classes (operator: spread)
  *
  * All settings. "platform" and "operator" name the file and the field that a value is read from.
@@ -188,6 +190,7 @@
   char *peer_bind;
   char *cloud;
   char *key_value_store;
+  char *metrics;
   GPtrArray *members;
   GPtrArray *teams;
   GPtrArray *objectives;
--- a/src/storage/load.c
+++ b/src/storage/load.c
@@ -21,6 +21,9 @@
   const MhRecordLoaderCallbacks *callbacks;
   gpointer owner;
   GHashTable *unreadable; /* set of job ids */
+  gint64 started_us;
+  guint pages, failed_pages, records;
+  guint64 revision; /* of the store, at the last page */
 };
 
 /* Prefixes of the keys that are read, in this order: a job's first record before its others. */
@@ -237,6 +240,12 @@
 static void
 finish_loading (MhRecordLoader *loader)
 {
+  gint64 elapsed_us = mh_runtime_now_us (loader->runtime) - loader->started_us;
+  mh_log_info (loader->runtime,
+               "records read records=%u pages=%u failed_pages=%u revision=%" G_GUINT64_FORMAT
+               " elapsed_ms=%d",
+               loader->records, loader->pages, loader->failed_pages, loader->revision,
+               (int)(elapsed_us / MH_MILLISECOND_US));
   GHashTableIter it;
   gpointer job;
   g_hash_table_iter_init (&it, loader->jobs);
@@ -252,16 +261,19 @@
   MhRecordLoader *loader = owner;
   const Page *page = data;
   bool has_more;
-  guint64 revision;
   g_autoptr (GPtrArray) entries
-      = response->status == 200 ? mh_kv_list_decode (response->body, &has_more, &revision, NULL)
-                                : NULL;
+      = response->status == 200
+            ? mh_kv_list_decode (response->body, &has_more, &loader->revision, NULL)
+            : NULL;
   if (entries == NULL)
     {
+      loader->failed_pages++;
       mh_call_queue_pause_store (loader->calls, PAGE_RETRY_PAUSE_US, PAGE_RETRY_JITTER_US);
       read_page (loader, page->prefix, page->after);
       return;
     }
+  loader->pages++;
+  loader->records += entries->len;
   for (guint i = 0; i < entries->len; i++)
     load_entry (loader, g_ptr_array_index (entries, i));
   if (has_more && entries->len)
@@ -279,5 +291,7 @@
 mh_record_loader_start (MhRecordLoader *loader)
 {
   g_return_if_fail (loader);
+  loader->started_us = mh_runtime_now_us (loader->runtime);
+  loader->pages = loader->failed_pages = loader->records = 0;
   read_page (loader, 0, NULL);
 }
--- a/src/storage/lookup.c
+++ b/src/storage/lookup.c
@@ -10,7 +10,6 @@
 #define MAX_BACKLOG_S 1.0
 /* The limit on queued reads is not lower than this, however low the rate limit is. */
 #define MIN_BACKLOG 8.0
-#define RETRY_AFTER_S 1u
 
 /* The order of the reads without a leader: the job's first record, then the final one, because a
    job moves from the first to the second and never back; last, the leader key. The response is
@@ -49,9 +48,6 @@
   GArray *next_request_ids;
 } JobRead;
 
-static const MhUserResponse unavailable_response
-    = { .status = 503, .retry_after_s = RETRY_AFTER_S };
-
 MhJobLookup *
 mh_job_lookup_new (MhRuntime *runtime, MhCallQueue *calls, GHashTable *jobs,
                    MhJobLookupFinalFunc final_func, gpointer owner)
@@ -103,6 +99,15 @@
   g_array_set_size (request_ids, 0);
 }
 
+static void
+respond_unavailable_to_all (const JobRead *read, GArray *request_ids)
+{
+  for (guint i = 0; i < request_ids->len; i++)
+    mh_runtime_respond_unavailable (read->lookup->runtime, g_array_index (request_ids, guint64, i),
+                                    MH_COUNTER_LOOKUP_FAILED);
+  g_array_set_size (request_ids, 0);
+}
+
 /* The calls, with their references to the reads, are forgotten at the end of a leadership. Requests
    that were not answered by then get a 503. */
 static void
@@ -110,8 +115,8 @@
 {
   JobRead *read = data;
   GHashTable *status_reads = read->lookup->status_reads;
-  respond_to_all (read, read->request_ids, &unavailable_response);
-  respond_to_all (read, read->next_request_ids, &unavailable_response);
+  respond_unavailable_to_all (read, read->request_ids);
+  respond_unavailable_to_all (read, read->next_request_ids);
   if (g_hash_table_lookup (status_reads, read->job) == read)
     g_hash_table_remove (status_reads, read->job);
   g_array_unref (read->request_ids);
@@ -177,11 +182,15 @@
   read_stage (read, read->scope == MH_LOOKUP_LEADER ? READ_FINAL : READ_RUNNING);
 }
 
-/* Answers the requests, and starts new reads for all requests that came after these reads began. */
+/* Answers the requests, with 503 if `response` is NULL, and starts new reads for all requests that
+   came after these reads began. */
 static void
 finish_reads (JobRead *read, const MhUserResponse *response)
 {
-  respond_to_all (read, read->request_ids, response);
+  if (response)
+    respond_to_all (read, read->request_ids, response);
+  else
+    respond_unavailable_to_all (read, read->request_ids);
   if (read->next_request_ids->len == 0)
     return;
   GArray *empty = read->request_ids;
@@ -236,7 +245,7 @@
   bool is_certain = is_final
                     || (mh_runtime_is_leader (lookup->runtime)
                         && !g_hash_table_contains (lookup->jobs, read->job));
-  finish_reads (read, is_certain ? &read->found : &unavailable_response);
+  finish_reads (read, is_certain ? &read->found : NULL);
 }
 
 static void
@@ -245,9 +254,9 @@
   (void)owner;
   JobRead *read = data;
   if (read->stage == READ_LEADER)
-    finish_reads (read, response->status == 404 ? &read->found : &unavailable_response);
+    finish_reads (read, response->status == 404 ? &read->found : NULL);
   else if (!decode_found (read, response))
-    finish_reads (read, &unavailable_response);
+    finish_reads (read, NULL);
   else if (read->scope == MH_LOOKUP_LEADER)
     respond_as_leader (read, response->status == 200);
   else if (response->status == 404 && read->stage == READ_RUNNING)
@@ -282,8 +291,7 @@
     }
   if (is_shared && is_backlog_full (lookup))
     {
-      mh_runtime_respond_to_user (lookup->runtime, request_id, unavailable_response.status,
-                                  unavailable_response.retry_after_s);
+      mh_runtime_respond_unavailable (lookup->runtime, request_id, MH_COUNTER_LOOKUP_BACKLOG);
       return;
     }
   read = job_read_new (lookup, job, verb, scope);
--- a/src/storage/record-writer.c
+++ b/src/storage/record-writer.c
@@ -72,6 +72,7 @@
   if (is_queued)
     g_queue_unlink (&writer->queues[record->urgency], &record->queue_link);
   record->urgency = urgency;
+  record->queued_us = mh_runtime_now_us (writer->runtime);
   record->queue_link.data = record;
   g_queue_push_tail_link (&writer->queues[urgency], &record->queue_link);
 }
@@ -138,6 +139,17 @@
   writer->limits_durable = true;
 }
 
+MhBacklog
+mh_record_writer_get_backlog (const MhRecordWriter *writer, MhUrgency urgency)
+{
+  g_return_val_if_fail (writer && (guint)urgency < MH_URGENCIES, (MhBacklog){ 0 });
+  const GQueue *waiting = &writer->queues[urgency];
+  const MhRecord *oldest = waiting->head ? waiting->head->data : NULL;
+  return (MhBacklog){ .waiting = waiting->length,
+                      .oldest_age_us
+                      = oldest ? mh_runtime_now_us (writer->runtime) - oldest->queued_us : 0 };
+}
+
 /* ---- building a transaction ---- */
 
 /* The final record replaces all records of the job. It is written in place of the first one, and
--- a/src/storage/record-writer.h
+++ b/src/storage/record-writer.h
@@ -9,6 +9,7 @@
 #include "storage/record.h"
 
 #include "election/election.h"
+#include "runtime/backlog.h"
 #include "runtime/call-queue.h"
 
 /** MhRecordWriter: the queue of records to be written */
@@ -137,6 +138,16 @@
 void
 mh_record_writer_mark_limits_durable (MhRecordWriter *writer);
 
+/**
+ * mh_record_writer_get_backlog:
+ * @writer: a writer
+ * @urgency: one of its queues
+ *
+ * Returns: the records that wait to be written with that urgency
+ */
+MhBacklog
+mh_record_writer_get_backlog (const MhRecordWriter *writer, MhUrgency urgency);
+
 /**
  * mh_record_writer_step:
  * @writer: a writer
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -150,6 +150,7 @@
       MH_SETTINGS_ERROR_INVALID },
     { "", "", "lease_s = 0.1\n", "lease_s", MH_SETTINGS_ERROR_INVALID },
     { "", "", "batch = 1\n", "batch", MH_SETTINGS_ERROR_INVALID },
+    { "", "", "metrics = \"9100\"\n", "metrics", MH_SETTINGS_ERROR_INVALID },
   };
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
     {
