Bound the search for tasks to preempt, which outlasted the leader lease

Cause: cost that grows with the cluster inside a bounded time. Once the recovery is over, a pass may preempt. For each job that found no room it walked over all machines and all their tasks, twice for room that is being freed, also after the limit of 16 preemptions a pass was reached. With 4,000 full machines one pass took 1.4 s of a whole processor (fake clock, release build); the lease is 1 s. The next leader began with the same queue, so that it never ended.

Refuted: loading (0.4 to 1.3 s, within the lease by its renewals), queues of calls (oldest age below 1 s but for progress records), a late main loop otherwise (50 ms).

Change: machines know how many of their attempts are being stopped, so that the others are not walked; requests that found no room being freed are remembered until a task is preempted; a pass searches at most 24,000 machines for victims, and the next one goes on with the next job.

overload/preemption-outlasts-lease charges each examined machine as processor time on the fake clock. With the search of before (counted alike) it fails: leaders change every 8 s for ever.

--- a/src/cluster/attempt.c
+++ b/src/cluster/attempt.c
@@ -7,8 +7,11 @@
 static void
 change_state (MhAttempt *attempt, MhAttemptEvent event)
 {
+  bool was_stopping = mh_attempt_is_stopping (attempt);
   bool accepted = mh_attempt_state_apply (&attempt->state, event);
   g_return_if_fail (accepted);
+  attempt->machine->usage.stopping += mh_attempt_is_stopping (attempt);
+  attempt->machine->usage.stopping -= was_stopping;
 }
 
 /* ---- resource usage ---- */
--- a/src/cluster/machine.h
+++ b/src/cluster/machine.h
@@ -129,6 +129,7 @@
  * ones to end
  * @reserved_mem_gb: memory that it reserves for them, in gigabytes
  * @replicas: number of its attempts that are service replicas
+ * @stopping: number of its attempts that are being stopped
  *
  * The resources of a machine that are in use.
  */
@@ -137,6 +138,7 @@
   double cpus, gpus, mem_gb;
   double reserved_cpus, reserved_mem_gb;
   guint replicas;
+  guint stopping;
 } MhMachineUsage;
 
 /**
--- a/src/placement/candidate.c
+++ b/src/placement/candidate.c
@@ -97,6 +97,7 @@
   pass->usable_machines = g_ptr_array_new ();
   pass->zones = g_array_new (FALSE, FALSE, sizeof (MhZoneCount));
   pass->infeasible = mh_infeasible_new ();
+  pass->no_room_after_stops = mh_infeasible_new ();
   pass->failed_preemptors = g_ptr_array_new ();
   pass->booting_machines = g_array_new (FALSE, FALSE, sizeof (MhBootingMachine));
   collect_machines (pass);
@@ -108,6 +109,7 @@
   g_ptr_array_unref (pass->usable_machines);
   g_array_unref (pass->zones);
   mh_infeasible_free (pass->infeasible);
+  mh_infeasible_free (pass->no_room_after_stops);
   g_ptr_array_unref (pass->failed_preemptors);
   g_array_unref (pass->booting_machines);
 }
--- a/src/placement/infeasible.c
+++ b/src/placement/infeasible.c
@@ -36,6 +36,12 @@
   g_array_append_val (infeasible->requests, request);
 }
 
+void
+mh_infeasible_clear (MhInfeasible *infeasible)
+{
+  g_array_set_size (infeasible->requests, 0);
+}
+
 bool
 mh_infeasible_is_known (const MhInfeasible *infeasible, const MhJobSpec *spec)
 {
--- a/src/placement/infeasible.h
+++ b/src/placement/infeasible.h
@@ -34,6 +34,15 @@
 void
 mh_infeasible_add (MhInfeasible *infeasible, const MhJobSpec *spec);
 
+/**
+ * mh_infeasible_clear:
+ * @infeasible: a set
+ *
+ * Empties the set, since machines have got more room.
+ */
+void
+mh_infeasible_clear (MhInfeasible *infeasible);
+
 /**
  * mh_infeasible_is_known:
  * @infeasible: a set
--- a/src/placement/placement-types.h
+++ b/src/placement/placement-types.h
@@ -43,11 +43,19 @@
  * @zones: (element-type MhZoneCount): all zones with live machines; MhMachine.zone_index is an
  * index into this array
  * @infeasible: requests for which no machine was found in this pass
+ * @no_room_after_stops: requests for which no machine has room even once the tasks that are being
+ * stopped have left it; emptied whenever a task is preempted
  * @failed_preemptors: (element-type MhJob): jobs for which preemption failed in this pass
  * @booting_machines: (element-type MhBootingMachine): machines that are booting
  * @starts: number of tasks started in this pass
  * @preemptions: number of times that this pass made room by preemption
  * @may_preempt: whether this pass may look for tasks to preempt
+ * @searched_machines: number of machines on which this pass has looked for tasks to preempt for
+ * arrays and services
+ * @search_first: (nullable): id of the job with which the search of this pass begins; jobs ahead of
+ * it had their turn in the pass before. %NULL: the search has begun
+ * @search_next: (owned) (nullable): id of the first job for which the limit on @searched_machines
+ * left no search; the next pass begins with it
  * @last_preemption_us: when a pass last looked for tasks to preempt for an array or a service, or
  * preempted tasks for a gang
  *
@@ -65,10 +73,14 @@
   GPtrArray *usable_machines;
   GArray *zones;
   MhInfeasible *infeasible;
+  MhInfeasible *no_room_after_stops;
   GPtrArray *failed_preemptors;
   GArray *booting_machines;
   guint starts, preemptions;
   bool may_preempt;
+  guint searched_machines;
+  const char *search_first;
+  char *search_next;
   gint64 last_preemption_us;
 } MhPlacementPass;
 
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -37,6 +37,7 @@
   MhJobQueue *queue;
   bool pass_requested, urgent;
   gint64 last_pass_us, last_preemption_us;
+  char *search_first; /* see MhPlacementPass */
 };
 
 MhPlacement *
@@ -54,6 +55,8 @@
 void
 mh_placement_free (MhPlacement *placement)
 {
+  if (placement)
+    g_free (placement->search_first);
   g_free (placement);
 }
 
@@ -285,11 +288,17 @@
           .now_us = now_us,
           .is_recovery_complete = is_recovery_complete,
           .may_preempt = now_us >= placement->last_preemption_us + PREEMPTION_INTERVAL_US,
-          .last_preemption_us = placement->last_preemption_us };
+          .last_preemption_us = placement->last_preemption_us,
+          .search_first = placement->search_first };
   mh_placement_pass_init (&pass);
   for (guint i = 0; i < jobs->len; i++)
     place_job (&pass, g_ptr_array_index (jobs, i));
   placement->last_preemption_us = pass.last_preemption_us;
+  if (pass.may_preempt)
+    {
+      g_free (placement->search_first);
+      placement->search_first = pass.search_next;
+    }
   mh_placement_pass_clear (&pass);
 }
 
--- a/src/placement/preemption.c
+++ b/src/placement/preemption.c
@@ -15,6 +15,9 @@
 /* Fraction (1/n) of its start slack for which a job waits for running tasks to complete before it
    may preempt any. */
 #define START_SLACK_DIVISOR 3
+/* Limits the machines on which one pass looks for tasks to preempt, so that a pass on thousands of
+   machines ends well within the leader lease. The pass after it goes on with the next job. */
+#define MAX_SEARCHED_MACHINES_PER_PASS 24000u
 
 /* ---- conditions ---- */
 
@@ -75,6 +78,33 @@
 
 /* ---- making room ---- */
 
+/* Whether a task fits on the machine once the tasks that are being stopped have left it. */
+static bool
+has_room_after_stops (const MhPlacementPass *pass, const MhJob *job, const MhMachine *machine)
+{
+  if (machine->usage.stopping == 0)
+    return mh_filter_resources (machine, job->spec);
+  mh_runtime_count (pass->runtime, MH_COUNTER_PREEMPTION_SITES);
+  MhResources preemptible;
+  MhResources available = mh_victims_capacity (job, machine, &preemptible);
+  return mh_victims_suffice (&available, job->spec, 1);
+}
+
+/* Whether the search for tasks to preempt has reached the job and may examine all machines. */
+static bool
+may_search (MhPlacementPass *pass, const MhJob *job)
+{
+  const char *id = job->spec->id;
+  if (pass->search_first && strcmp (pass->search_first, id) != 0)
+    return false;
+  pass->search_first = NULL;
+  if (pass->searched_machines < MAX_SEARCHED_MACHINES_PER_PASS)
+    return true;
+  if (pass->search_next == NULL)
+    pass->search_next = g_strdup (id);
+  return false;
+}
+
 /* Reserves room on a machine where the image is in time and the task fits once the tasks that are
    being stopped have left. Returns whether there is such a machine. Without this check, a replica
    for which a task had been stopped was started elsewhere before that task was gone. */
@@ -82,21 +112,25 @@
 reserve_room_being_freed (MhJobCycle *cycle, gint64 max_wait_us)
 {
   const MhJobSpec *spec = cycle->job->spec;
-  for (guint i = 0; i < cycle->pass->usable_machines->len; i++)
+  MhPlacementPass *pass = cycle->pass;
+  bool has_room = false;
+  if (mh_infeasible_is_known (pass->no_room_after_stops, spec))
+    return false;
+  for (guint i = 0; i < pass->usable_machines->len; i++)
     {
-      MhMachine *machine = g_ptr_array_index (cycle->pass->usable_machines, i);
-      MhResources preemptible;
-      if (!mh_filter_admits (cycle, machine))
+      MhMachine *machine = g_ptr_array_index (pass->usable_machines, i);
+      if (!has_room_after_stops (pass, cycle->job, machine) || !mh_filter_machine (cycle, machine))
         continue;
-      MhResources available = mh_victims_capacity (cycle->job, machine, &preemptible);
-      if (!mh_victims_suffice (&available, spec, 1)
-          || mh_machine_image_wait_us (cycle->pass->cluster, machine, cycle->job->image,
-                                       spec->image_gb)
+      has_room = true;
+      if (!mh_filter_zone (cycle, cycle->zone_of[machine->zone_index])
+          || mh_machine_image_wait_us (pass->cluster, machine, cycle->job->image, spec->image_gb)
                  > max_wait_us)
         continue;
       mh_resources_reserve (machine, spec, 1);
       return true;
     }
+  if (!has_room)
+    mh_infeasible_add (pass->no_room_after_stops, spec);
   return false;
 }
 
@@ -108,15 +142,17 @@
   double loss;
 } PreemptionSite;
 
-/* Returns false if the task cannot run on the machine, or its image would be late there. */
+/* Returns false if the task cannot run on the machine, its image would be late there, or the loss
+   is certainly `max_loss` or more. */
 static bool
-evaluate_site (const MhJobCycle *cycle, gint64 max_wait_us, GPtrArray *victims,
+evaluate_site (const MhJobCycle *cycle, gint64 max_wait_us, double max_loss, GPtrArray *victims,
                PreemptionSite *site)
 {
   const MhJobSpec *spec = cycle->job->spec;
   MhResources preemptible;
   if (!mh_filter_admits (cycle, site->machine))
     return false;
+  mh_runtime_count (cycle->pass->runtime, MH_COUNTER_PREEMPTION_SITES);
   MhResources available = mh_victims_capacity (cycle->job, site->machine, &preemptible);
   if (!mh_victims_suffice (&preemptible, spec, 1))
     return false;
@@ -124,6 +160,10 @@
                                                   cycle->job->image, spec->image_gb);
   if (site->image_wait_us > max_wait_us)
     return false;
+  /* The tasks need not be compared where the image alone takes as long as the best machine found.
+   */
+  if ((double)site->image_wait_us / MH_SECOND_US >= max_loss)
+    return false;
   site->loss
       = (double)site->image_wait_us / MH_SECOND_US
         + mh_victims_select (cycle->pass->now_us, cycle->job, site->machine, available, 1, victims);
@@ -134,11 +174,12 @@
 find_site_with_least_loss (const MhJobCycle *cycle, gint64 max_wait_us)
 {
   PreemptionSite best = { .loss = G_MAXDOUBLE };
+  cycle->pass->searched_machines += cycle->pass->usable_machines->len;
   g_autoptr (GPtrArray) victims = g_ptr_array_new ();
   for (guint i = 0; i < cycle->pass->usable_machines->len; i++)
     {
       PreemptionSite site = { .machine = g_ptr_array_index (cycle->pass->usable_machines, i) };
-      if (evaluate_site (cycle, max_wait_us, victims, &site) && site.loss < best.loss)
+      if (evaluate_site (cycle, max_wait_us, best.loss, victims, &site) && site.loss < best.loss)
         best = site;
     }
   return best;
@@ -156,6 +197,7 @@
                    preemptor->spec->id);
       mh_attempt_stop (pass->cluster, victim, mh_job_grace_us (victim->job));
     }
+  mh_infeasible_clear (pass->no_room_after_stops);
 }
 
 /* Returns false if there is no machine on which stopping tasks would make enough room. */
@@ -188,7 +230,8 @@
     return false;
   if (reserve_room_being_freed (cycle, max_wait_us))
     return true;
-  if (!pass->may_preempt || pass->preemptions >= MH_MAX_PREEMPTIONS_PER_PASS)
+  if (!pass->may_preempt || pass->preemptions >= MH_MAX_PREEMPTIONS_PER_PASS
+      || !may_search (pass, cycle->job))
     return false;
   pass->last_preemption_us = pass->now_us;
   if (!preempt_for_task (cycle, max_wait_us))
@@ -215,7 +258,8 @@
       if (mh_preemption_make_room_for_task (cycle, cycle->start_slack_us)
           || mh_preemption_make_room_for_task (cycle, G_MAXINT64))
         continue;
-      if (cycle->pass->preemptions < MH_MAX_PREEMPTIONS_PER_PASS && is_unconstrained (cycle))
+      if (cycle->pass->preemptions < MH_MAX_PREEMPTIONS_PER_PASS && is_unconstrained (cycle)
+          && may_search (cycle->pass, job))
         g_ptr_array_add (cycle->pass->failed_preemptors, job);
       return;
     }
--- a/src/placement/victim.c
+++ b/src/placement/victim.c
@@ -106,21 +106,19 @@
 mh_victims_select (gint64 now_us, const MhJob *preemptor, const MhMachine *machine,
                    MhResources available, guint tasks, GPtrArray *victims)
 {
-  g_autoptr (GPtrArray) eligible = g_ptr_array_new ();
   double loss = 0;
+  guint selected = 0;
+  g_ptr_array_set_size (victims, 0);
   for (guint i = 0; i < machine->attempts->len; i++)
     if (mh_victim_is_eligible (preemptor, mh_machine_attempt (machine, i)))
-      g_ptr_array_add (eligible, mh_machine_attempt (machine, i));
-  g_ptr_array_sort_with_data (eligible, compare_loss, &now_us);
-  g_ptr_array_set_size (victims, 0);
-  for (guint i = 0; i < eligible->len; i++)
+      g_ptr_array_add (victims, mh_machine_attempt (machine, i));
+  g_ptr_array_sort_with_data (victims, compare_loss, &now_us);
+  while (selected < victims->len && !mh_victims_suffice (&available, preemptor->spec, tasks))
     {
-      MhAttempt *attempt = g_ptr_array_index (eligible, i);
-      if (mh_victims_suffice (&available, preemptor->spec, tasks))
-        break;
+      const MhAttempt *attempt = g_ptr_array_index (victims, selected++);
       mh_resources_add_task (&available, attempt->job->spec);
       loss += mh_victim_loss (attempt, now_us);
-      g_ptr_array_add (victims, attempt);
     }
+  g_ptr_array_set_size (victims, (gint)selected);
   return loss;
 }
--- a/src/runtime/counter.c
+++ b/src/runtime/counter.c
@@ -17,6 +17,7 @@
     [MH_COUNTER_RESPONSE_AFTER_LEASE] = "response_after_lease",
     [MH_COUNTER_LEASE_LAPSES] = "lease_lapses",
     [MH_COUNTER_ELECTIONS] = "elections",
+    [MH_COUNTER_PREEMPTION_SITES] = "preemption_sites",
   };
   g_return_val_if_fail ((guint)counter < MH_COUNTERS, "unknown");
   return names[counter];
--- a/src/runtime/counter.h
+++ b/src/runtime/counter.h
@@ -19,6 +19,8 @@
  * @MH_COUNTER_RESPONSE_AFTER_LEASE: because the lease ended before the response left the process
  * @MH_COUNTER_LEASE_LAPSES: how often the lease of this controller lapsed and was renewed
  * @MH_COUNTER_ELECTIONS: how often this controller was elected
+ * @MH_COUNTER_PREEMPTION_SITES: machines whose tasks were examined for a preemption of arrays and
+ * services; each takes time in which nothing else is done
  *
  * What is counted, since the process started.
  */
@@ -36,10 +38,11 @@
   MH_COUNTER_REJECTED_WAITER,
   MH_COUNTER_RESPONSE_AFTER_LEASE,
   MH_COUNTER_LEASE_LAPSES,
-  MH_COUNTER_ELECTIONS
+  MH_COUNTER_ELECTIONS,
+  MH_COUNTER_PREEMPTION_SITES
 } MhCounter;
 /** MH_COUNTERS: number of counters */
-#define MH_COUNTERS 13
+#define MH_COUNTERS 14
 /** MH_FIRST_UNAVAILABLE_COUNTER: the first counter of users' requests that were answered 503 */
 #define MH_FIRST_UNAVAILABLE_COUNTER MH_COUNTER_NO_LEADER
 /** MH_LAST_UNAVAILABLE_COUNTER: the last counter of users' requests that were answered 503 */
--- a/tests/stand-in/controller-node.c
+++ b/tests/stand-in/controller-node.c
@@ -189,10 +189,24 @@
     controller_node_drain (node);
 }
 
+/* Charges the processor time of what the last input examined: the actions are carried out, and
+   further inputs handled, only after that time. */
+static void
+charge_processor_time (ControllerNode *node)
+{
+  if (node->preemption_site_us == 0)
+    return;
+  guint64 sites = controller_count (node->controller, MH_COUNTER_PREEMPTION_SITES);
+  guint64 examined = sites - node->preemption_sites;
+  node->preemption_sites = sites;
+  node->pause_before_acting_us += (gint64)((double)examined * node->preemption_site_us);
+}
+
 void
 controller_node_drain (ControllerNode *node)
 {
   FakeClock *clock = node->simulation->clock;
+  charge_processor_time (node);
   if (node->pause_before_acting_us)
     node->paused_until_us = clock->now_us + node->pause_before_acting_us;
   node->pause_before_acting_us = 0;
@@ -231,6 +245,7 @@
   MhNow now = controller_node_now (node);
   node->next_wake_us = G_MAXINT64;
   node->paused_until_us = node->pause_before_acting_us = 0;
+  node->preemption_sites = 0;
   node->controller = controller_new (node->version, node->settings, &now);
   controller_tick (node->controller, &now);
   controller_node_drain (node);
--- a/tests/stand-in/controller-node.h
+++ b/tests/stand-in/controller-node.h
@@ -64,6 +64,9 @@
  * @heartbeats_lost_until_us: until then no heartbeat reaches it
  * @paused_until_us: its process is paused until then, while its clocks run on; events for it are
  *   delayed until then
+ * @preemption_site_us: how long it is paused for each machine that it examines for a preemption,
+ *   because that takes processor time; 0: not
+ * @preemption_sites: machines that it had examined at the last input
  * @pause_before_acting_us: it is paused for that long after the next input, before it carries out
  *   the actions that the input caused; 0: not
  */
@@ -92,6 +95,8 @@
   gint64 heartbeats_lost_until_us;
   gint64 paused_until_us;
   gint64 pause_before_acting_us;
+  double preemption_site_us;
+  guint64 preemption_sites;
 };
 
 /**
--- a/tests/stand-in/controller.c
+++ b/tests/stand-in/controller.c
@@ -1,5 +1,7 @@
 #include "stand-in/controller.h"
 
+#include "controller/status.h"
+
 #include "production/production-core.h"
 #include "protocol/worker-messages.h"
 
@@ -297,6 +299,12 @@
                     : production_core_next_wake (self->production);
 }
 
+guint64
+controller_count (const Controller *self, MhCounter counter)
+{
+  return self->core ? mh_core_get_count (self->core, counter) : 0;
+}
+
 bool
 controller_leads (const Controller *self)
 {
--- a/tests/stand-in/controller.h
+++ b/tests/stand-in/controller.h
@@ -52,6 +52,10 @@
 /** controller_next_wake: Returns: when it needs its next tick, on its monotonic clock */
 gint64
 controller_next_wake (const Controller *controller);
+/** controller_count: Returns: the value of a counter of the current version; 0 for the version in
+ * production */
+guint64
+controller_count (const Controller *controller, MhCounter counter);
 /** controller_leads: Returns: whether its leader lease is valid, as of its last input */
 bool
 controller_leads (const Controller *controller);
--- /dev/null
+++ b/tests/test-overload.c
@@ -0,0 +1,133 @@
+/* A full cluster of many machines on controllers with a small share of a processor: work that grows
+   with the cluster must not outlast the leader lease. */
+#include "steps.h"
+
+#define MACHINES 1200u
+#define SERVICES 200u
+#define ARRAYS 240u
+#define TASKS_PER_ARRAY 30u
+#define CORE_SHARE 0.24
+/* Processor time in which the tasks of one machine are examined, without a share. */
+#define EXAMINATION_US 0.5
+#define CRASHES 3u
+#define CRASH_INTERVAL_S 6
+/* Two heartbeats and the time in which workers find the leader. */
+#define RECOVERY_S 14
+#define QUIET_S 45
+/* A job about which no question is answered for this long counts as forgotten. */
+#define FORGOTTEN_US (75 * MH_SECOND_US)
+
+static const char *const zones[] = { "a", "b", "c", "d" };
+
+static void
+allow_full_cluster (MhSettings *settings)
+{
+  settings->heartbeat_interval_us = 5 * MH_SECOND_US;
+  settings->worker_lease_us = 24 * MH_SECOND_US;
+  settings->cancel_limit_us = 54 * MH_SECOND_US;
+  settings->core_share = CORE_SHARE;
+  settings->max_connections = 3640;
+  settings->store_rps = 800;
+  settings->store_write_rps = 70;
+  settings->cloud_rps = 6;
+  for (guint i = 0; i < settings->teams->len; i++)
+    {
+      MhTeam *team = g_ptr_array_index (settings->teams, i);
+      team->cpus = MACHINES;
+      team->cpus_max = 1e6;
+    }
+}
+
+static Simulation *
+full_cluster_new (guint32 seed)
+{
+  Simulation *simulation = simulation_new (seed);
+  simulation->cloud->zone_count = G_N_ELEMENTS (zones);
+  allow_full_cluster (simulation->settings);
+  for (guint i = 0; i < SIMULATION_NODES; i++)
+    {
+      allow_full_cluster (simulation->nodes[i].settings);
+      simulation->nodes[i].preemption_site_us = EXAMINATION_US / CORE_SHARE;
+      simulation_restart_node (simulation, i, CONTROLLER_CURRENT, 0.1);
+    }
+  for (guint i = 0; i < MACHINES; i++)
+    cloud_add_machine (simulation->cloud, "small", zones[i % G_N_ELEMENTS (zones)], false);
+  return simulation;
+}
+
+static void
+submit_more_than_fits (Simulation *simulation)
+{
+  for (guint i = 0; i < ARRAYS; i++)
+    {
+      MhJobSpec *spec = job_spec_new (1 + i, MH_SHAPE_ARRAY, TASKS_PER_ARRAY, 1);
+      spec->priority = i % 2 ? MH_PRIORITY_NORMAL : MH_PRIORITY_LOW;
+      spec->estimated_run_us = 60 * MH_SECOND_US;
+      simulation_submit (simulation, spec, 240);
+    }
+  simulation_run (simulation, 20);
+  for (guint i = 0; i < SERVICES; i++)
+    simulation_submit (simulation, job_spec_new (1000 + i, MH_SHAPE_SERVICE, 4, 1), 0);
+}
+
+static void
+crash_leader (Simulation *simulation)
+{
+  ControllerNode *leader = simulation_leader (simulation);
+  if (leader)
+    simulation_restart_node (simulation, leader->index, CONTROLLER_CURRENT, 3);
+}
+
+static void
+silence_zone (Simulation *simulation, const char *zone, double seconds)
+{
+  for (guint i = 0; i < simulation->workers->len; i++)
+    {
+      Worker *worker = g_ptr_array_index (simulation->workers, i);
+      if (g_strcmp0 (worker->machine->zone, zone) == 0)
+        worker->cut_until_us = simulation->clock->now_us + (gint64)(seconds * MH_SECOND_US);
+    }
+}
+
+static void
+assert_nobody_is_forgotten (const Simulation *simulation)
+{
+  for (guint i = 0; i < simulation->users->len; i++)
+    {
+      const User *user = g_ptr_array_index (simulation->users, i);
+      if (user->job->accepted)
+        g_assert_cmpint (simulation->clock->now_us - user->last_response_us, <, FORGOTTEN_US);
+    }
+}
+
+/* Guards against a search for tasks to preempt that outlasts the lease of each new leader. */
+static void
+test_preemption_outlasts_lease (void)
+{
+  Simulation *simulation = full_cluster_new (91);
+  simulation_run (simulation, 14);
+  submit_more_than_fits (simulation);
+  for (guint i = 0; i < CRASHES; i++)
+    {
+      crash_leader (simulation);
+      if (i == 1)
+        silence_zone (simulation, "b", CRASH_INTERVAL_S);
+      simulation_run (simulation, CRASH_INTERVAL_S);
+    }
+  simulation_run (simulation, RECOVERY_S);
+  g_ptr_array_set_size (simulation->log_lines, 0);
+  simulation_run (simulation, QUIET_S);
+  g_assert_false (simulation_has_logged (simulation, "no longer leading"));
+  g_assert_false (simulation_has_logged (simulation, "lease renewed after it had lapsed"));
+  assert_nobody_is_forgotten (simulation);
+  simulation_assert_rules (simulation);
+  simulation_free (simulation);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/overload/preemption-outlasts-lease", test_preemption_outlasts_lease);
+  return g_test_run ();
+}
