Write a transaction in parts if it exceeds the lowered rate

What callers saw: after the store had lowered its rate as announced (state.next), submissions and cancellations of some jobs were never answered, and each attempt paused all writes of the leader for a moment.

Cause: a transaction built before the first 429 may hold more changes than the store now allows in one second. It was sent again as it was, for ever: a retry that cannot succeed.

Change: such a transaction is given up and each of its records written alone, if no earlier request of it may have been applied; if one may have been, its tagged record decides, as after any write in doubt.

--- a/src/storage/transaction.c
+++ b/src/storage/transaction.c
@@ -233,6 +233,22 @@
     transaction->callbacks->conflict (transaction->data, failed_keys);
 }
 
+/* A transaction that makes more changes than the lowered rate allows at once would be refused each
+   time it is sent. */
+static void
+on_throttled (MhTransaction *transaction, const MhCallResponse *response)
+{
+  mh_call_queue_handle_store_failure (transaction->calls, response->status);
+  if (transaction->changes->len <= mh_call_queue_write_burst (transaction->calls))
+    send_request (transaction);
+  else if (!transaction->may_be_applied)
+    transaction->callbacks->exceeds_rate (transaction->data);
+  else if (transaction->tagged_key)
+    read_tagged_record (transaction);
+  else
+    transaction->callbacks->outcome_unknown (transaction->data);
+}
+
 static void
 on_response (gpointer owner, gpointer data, const MhCallResponse *response)
 {
@@ -251,8 +267,10 @@
     case MH_TRANSACTION_MALFORMED:
       transaction->callbacks->malformed (transaction->data, transaction->may_be_applied);
       break;
-    case MH_TRANSACTION_UNKNOWN:
     case MH_TRANSACTION_THROTTLED:
+      on_throttled (transaction, response);
+      break;
+    case MH_TRANSACTION_UNKNOWN:
     case MH_TRANSACTION_UNAVAILABLE:
       transaction->may_be_applied |= outcome == MH_TRANSACTION_UNKNOWN;
       mh_call_queue_handle_store_failure (transaction->calls, response->status);
--- a/src/storage/transaction.h
+++ b/src/storage/transaction.h
@@ -54,9 +54,11 @@
  * transaction is tagged, an earlier request with an unknown outcome may have been applied
  * @malformed: the store refused the transaction as malformed or too large; `may_be_applied`: an
  * earlier request with an unknown outcome may have been applied
+ * @exceeds_rate: it was not and will not be applied, since it makes more changes than the store
+ * allows at once; in parts it may pass
  * @outcome_unknown: it cannot be determined whether the transaction was applied
  *
- * Called with the data of the transaction. One of the last four is called, once, unless the calls
+ * Called with the data of the transaction. One of the last five is called, once, unless the calls
  * of the transaction are forgotten before.
  */
 typedef struct
@@ -66,6 +68,7 @@
   void (*applied) (gpointer data, guint64 version);
   void (*conflict) (gpointer data, char **failed_keys);
   void (*malformed) (gpointer data, bool may_be_applied);
+  void (*exceeds_rate) (gpointer data);
   void (*outcome_unknown) (gpointer data);
 } MhTransactionCallbacks;
 
--- a/src/storage/write-outcome.c
+++ b/src/storage/write-outcome.c
@@ -379,6 +379,20 @@
     }
 }
 
+/* Each record is written again in a transaction of one record. */
+static void
+on_exceeds_rate (gpointer data)
+{
+  const MhSentBatch *sent = data;
+  end_transaction (sent);
+  for (guint i = 0; i < sent->writes->len; i++)
+    {
+      MhRecord *record = get_write (sent, i)->record;
+      record->write_alone = true;
+      mh_record_writer_apply_event (sent->writer, record, MH_RECORD_NOT_WRITTEN, record->urgency);
+    }
+}
+
 const MhTransactionCallbacks *
 mh_sent_batch_callbacks (void)
 {
@@ -388,6 +402,7 @@
           .applied = on_applied,
           .conflict = on_conflict,
           .malformed = on_malformed,
+          .exceeds_rate = on_exceeds_rate,
           .outcome_unknown = on_outcome_unknown };
   return &callbacks;
 }
