--- a/src/controller/user-requests.c
+++ b/src/controller/user-requests.c
@@ -17,8 +17,7 @@
 {
   STATUS_OK = 200,
   STATUS_CREATED = 201,
-  STATUS_BAD_REQUEST = 400,
-  STATUS_UNPROCESSABLE = 422
+  STATUS_BAD_REQUEST = 400
 };
 
 /* ---- responses ---- */
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -4,7 +4,6 @@
    acceptance, cancellation and end of a job are shown to users only when they are durable. */
 #pragma once
 
-#include "runtime/runtime.h"
 #include "jobs/gang-state.h"
 #include "jobs/job-failures.h"
 #include "protocol/cloud-messages.h"
--- a/tests/test-compound.c
+++ b/tests/test-compound.c
@@ -23,8 +23,7 @@
 has_final_response (Simulation *simulation, gpointer data)
 {
   (void)simulation;
-  const User *user = data;
-  return user->reported_cancelled || user->reported_done;
+  return user_is_settled (data);
 }
 
 /* A user asks all nodes in quick succession, right after its job was accepted, ended or cancelled.
--- a/tests/test-placement-order.c
+++ b/tests/test-placement-order.c
@@ -15,7 +15,7 @@
 #define ZONES 4
 #define TYPES 3
 /* Keys by which candidates are compared, the most significant first. */
-#define KEYS 6
+#define KEYS 5
 #define KEY_COST 0
 #define KEY_ABOVE_PRICE_CAP 1
 #define KEY_REPLICAS 2
