--- a/tests/test-metrics.c
+++ b/tests/test-metrics.c
@@ -115,6 +115,7 @@
   g_autoptr (MhMetricsServer) server
       = mh_metrics_server_new (address, format_example, NULL, &error);
   g_assert_no_error (error);
+  g_assert_nonnull (server);
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       g_autofree char *allowed = NULL;
