Preemption: a job that has searched in a pass is not the first of the next

A search that reached the limit on machines while the job's second one was due left the next pass to begin with the same job; with more machines than the limit no other job would have had its turn. The next pass now begins with the first job that had no search. test-overload and the placement tests pass.

--- a/src/placement/placement-types.h
+++ b/src/placement/placement-types.h
@@ -54,6 +54,7 @@
  * arrays and services
  * @search_first: (nullable): id of the job with which the search of this pass begins; jobs ahead of
  * it had their turn in the pass before. %NULL: the search has begun
+ * @last_searched: (nullable): the last job for which this pass has begun a search; only compared
  * @search_next: (owned) (nullable): id of the first job for which the limit on @searched_machines
  * left no search; the next pass begins with it
  * @last_preemption_us: when a pass last looked for tasks to preempt for an array or a service, or
@@ -80,6 +81,7 @@
   bool may_preempt;
   guint searched_machines;
   const char *search_first;
+  const MhJob *last_searched;
   char *search_next;
   gint64 last_preemption_us;
 } MhPlacementPass;
--- a/src/placement/preemption.c
+++ b/src/placement/preemption.c
@@ -90,7 +90,14 @@
   return mh_victims_suffice (&available, job->spec, 1);
 }
 
-/* Whether the search for tasks to preempt has reached the job and may examine all machines. */
+static bool
+is_search_left (const MhPlacementPass *pass)
+{
+  return pass->search_first == NULL && pass->searched_machines < MAX_SEARCHED_MACHINES_PER_PASS;
+}
+
+/* Whether the search for tasks to preempt has reached the job and may examine all machines. A job
+   that has searched in this pass has had its turn. */
 static bool
 may_search (MhPlacementPass *pass, const MhJob *job)
 {
@@ -98,9 +105,12 @@
   if (pass->search_first && strcmp (pass->search_first, id) != 0)
     return false;
   pass->search_first = NULL;
-  if (pass->searched_machines < MAX_SEARCHED_MACHINES_PER_PASS)
-    return true;
-  if (pass->search_next == NULL)
+  if (is_search_left (pass))
+    {
+      pass->last_searched = job;
+      return true;
+    }
+  if (pass->search_next == NULL && pass->last_searched != job)
     pass->search_next = g_strdup (id);
   return false;
 }
@@ -259,7 +269,7 @@
           || mh_preemption_make_room_for_task (cycle, G_MAXINT64))
         continue;
       if (cycle->pass->preemptions < MH_MAX_PREEMPTIONS_PER_PASS && is_unconstrained (cycle)
-          && may_search (cycle->pass, job))
+          && is_search_left (cycle->pass))
         g_ptr_array_add (cycle->pass->failed_preemptors, job);
       return;
     }
