Keep connections of users and workers open: libmicrohttpd as the HTTP server

What callers saw: every connection was closed after one response, without "Connection: close". The second request on a connection got no response, with its outcome unknown.

Cause: libsoup 3.2.3 keeps a connection only if its server has a listener of its own. With one, it reads the end of the stream of a client that left after a response (recvfrom returns 0 in a system call trace), stops watching the descriptor and never closes it; its own listener shows the same in a program of thirty lines. So epoll-watcher and polled-context are not the cause. Showing libsoup a cut-off request does close, but rests on an accident.

Change: libmicrohttpd serves behind MhHttpServer (http-daemon, http-exchange), as one source of the main loop; http-listener, polled-context and epoll-watcher go. Workers' connections are closed by the header above 0.6 of max_connections, users' above 0.8 and while not ready; none is accepted above 0.95. Keepalive probes end silent ones. The metrics endpoint uses the same daemon, with an idle time-out in place of closing the fifth connection at once.

Why it works: the library ends a connection by the header, by the end of the stream or by an error alone, and its events and its reads are its own; the tests see each way of leaving, before, during and after requests.

--- a/src/server/http-server.h
+++ b/src/server/http-server.h
@@ -3,6 +3,7 @@
 
 #include "protocol/user-messages.h"
 #include "protocol/worker-messages.h"
+#include "server/http-daemon.h"
 #include "server/pending-request.h"
 
 /**
@@ -19,8 +20,7 @@
  * @user_request: called with a user's request and, for a submission, the job (transfer full)
  * @heartbeat: called with a worker's request and its heartbeat, which is valid during the call only
  *
- * Handlers of requests. A request stays in the table of pending requests until it is answered or
- * its connection ends.
+ * Handlers of requests. A request stays in the table of pending requests until it is answered.
  */
 typedef struct
 {
@@ -80,7 +80,9 @@
  * @request: a user's request that was received over HTTP
  * @response: the response
  *
- * Does not remove @request from its table.
+ * Closes the connection after the response when this controller is not ready, so that the client's
+ * next request reaches another one, and when too many connections are open. Does not remove
+ * @request from its table.
  */
 void
 mh_http_server_respond_to_user (MhHttpServer *self, const MhPendingRequest *request,
@@ -93,8 +95,8 @@
  * @status: HTTP status
  * @body: (nullable): commands for the worker, or the node to send heartbeats to instead
  *
- * Closes the connection after the response when too many are open (see
- * mh_http_listener_is_near_connection_limit()). Does not remove @request from its table.
+ * Closes the connection after the response when too many are open: there may be more workers than
+ * allowed connections, and users need some of them. Does not remove @request from its table.
  */
 void
 mh_http_server_respond_to_heartbeat (MhHttpServer *self, const MhPendingRequest *request,
--- a/src/server/metrics-server.c
+++ b/src/server/metrics-server.c
@@ -1,73 +1,45 @@
 #include "server/metrics-server.h"
 
-#include <libsoup/soup.h>
+#include "server/http-daemon.h"
+
 #include <string.h>
 
 #define METRICS_PATH "/metrics"
 #define METRICS_MEDIA_TYPE "text/plain; version=0.0.4; charset=utf-8"
-/* More connections at a time are closed at once: a scraper needs one. */
+/* A scraper needs one connection, for one request. */
 #define MAX_CONNECTIONS 4u
-/* A connection that has not finished its request by then is closed. */
-#define CONNECTION_TIMEOUT_S 5u
+#define IDLE_TIMEOUT_S 5u
 
 struct MhMetricsServer
 {
   MhMetricsFunc func;
   gpointer user_data;
-  SoupServer *server;
-  GSocketService *service;
-  guint connections;
+  MhHttpDaemon *daemon;
 };
 
 static void
-on_request (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *query,
-            gpointer data)
+on_request (MhHttpExchange *exchange, gpointer data)
 {
   const MhMetricsServer *self = data;
-  SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
-  (void)server;
-  (void)query;
-  soup_message_headers_replace (headers, "Connection", "close");
-  if (strcmp (path, METRICS_PATH) != 0)
+  g_autoptr (GBytes) body = NULL;
+  /* A scraper that stays must not take the connection of the next one. */
+  MhHttpResponse response = { .close = true };
+  if (strcmp (mh_http_exchange_get_path (exchange), METRICS_PATH) != 0)
+    response.status = MHD_HTTP_NOT_FOUND;
+  else if (strcmp (mh_http_exchange_get_method (exchange), "GET") != 0)
     {
-      soup_server_message_set_status (message, SOUP_STATUS_NOT_FOUND, NULL);
-      return;
+      response.status = MHD_HTTP_METHOD_NOT_ALLOWED;
+      response.allow = "GET";
     }
-  if (strcmp (soup_server_message_get_method (message), "GET") != 0)
+  else
     {
-      soup_message_headers_replace (headers, "Allow", "GET");
-      soup_server_message_set_status (message, SOUP_STATUS_METHOD_NOT_ALLOWED, NULL);
-      return;
+      char *text = self->func (self->user_data);
+      body = g_bytes_new_take (text, strlen (text));
+      response.status = MHD_HTTP_OK;
+      response.body = body;
+      response.media_type = METRICS_MEDIA_TYPE;
     }
-  char *text = self->func (self->user_data);
-  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
-  soup_server_message_set_response (message, METRICS_MEDIA_TYPE, SOUP_MEMORY_TAKE, text,
-                                    strlen (text));
-}
-
-static void
-on_connection_closed (gpointer data, GObject *connection)
-{
-  MhMetricsServer *self = data;
-  (void)connection;
-  self->connections--;
-}
-
-static gboolean
-on_incoming (GSocketService *service, GSocketConnection *connection, GObject *source, gpointer data)
-{
-  MhMetricsServer *self = data;
-  g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (connection, NULL);
-  g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (connection, NULL);
-  (void)service;
-  (void)source;
-  if (local == NULL || remote == NULL || self->connections >= MAX_CONNECTIONS)
-    return TRUE;
-  self->connections++;
-  g_object_weak_ref (G_OBJECT (connection), on_connection_closed, self);
-  g_socket_set_timeout (g_socket_connection_get_socket (connection), CONNECTION_TIMEOUT_S);
-  soup_server_accept_iostream (self->server, G_IO_STREAM (connection), local, remote, NULL);
-  return TRUE;
+  mh_http_exchange_respond (exchange, &response);
 }
 
 MhMetricsServer *
@@ -75,17 +47,14 @@
                        GError **error)
 {
   g_return_val_if_fail (address != NULL && func != NULL, NULL);
-  g_autoptr (GSocketService) service = g_socket_service_new ();
-  if (!g_socket_listener_add_address (G_SOCKET_LISTENER (service), address, G_SOCKET_TYPE_STREAM,
-                                      G_SOCKET_PROTOCOL_TCP, NULL, NULL, error))
-    return NULL;
+  const MhHttpLimits limits
+      = { .max_connections = MAX_CONNECTIONS, .idle_timeout_s = IDLE_TIMEOUT_S };
   MhMetricsServer *self = g_new0 (MhMetricsServer, 1);
   self->func = func;
   self->user_data = user_data;
-  self->server = soup_server_new (NULL, NULL);
-  self->service = g_steal_pointer (&service);
-  soup_server_add_handler (self->server, NULL, on_request, self, NULL);
-  g_signal_connect (self->service, "incoming", G_CALLBACK (on_incoming), self);
+  self->daemon = mh_http_daemon_new (address, &limits, on_request, self, error);
+  if (self->daemon == NULL)
+    g_clear_pointer (&self, g_free);
   return self;
 }
 
@@ -94,9 +63,6 @@
 {
   if (self == NULL)
     return;
-  g_signal_handlers_disconnect_by_data (self->service, self);
-  g_object_unref (self->service);
-  soup_server_disconnect (self->server);
-  g_object_unref (self->server);
+  mh_http_daemon_free (self->daemon);
   g_free (self);
 }
--- a/src/server/pending-request.c
+++ b/src/server/pending-request.c
@@ -10,9 +10,6 @@
 request_free (gpointer data)
 {
   MhPendingRequest *request = data;
-  if (request->message)
-    g_signal_handler_disconnect (request->message, request->finished_handler);
-  g_clear_object (&request->message);
   if (request->forward_timeout)
     g_source_remove (request->forward_timeout);
   g_free (request->job);
@@ -41,31 +38,17 @@
 add_request (MhPendingRequests *table)
 {
   MhPendingRequest *request = g_new0 (MhPendingRequest, 1);
-  request->table = table;
   request->id = ++table->last_id;
   request->received_us = g_get_monotonic_time ();
   g_hash_table_insert (table->requests, &request->id, request);
   return request;
 }
 
-static void
-on_finished (SoupServerMessage *message, gpointer data)
-{
-  MhPendingRequest *request = data;
-  (void)message;
-  mh_pending_requests_remove (request->table, request->id);
-}
-
 MhPendingRequest *
-mh_pending_requests_add_message (MhPendingRequests *table, SoupServerMessage *message,
-                                 MhConnectionGroup *group)
+mh_pending_requests_add_exchange (MhPendingRequests *table, MhHttpExchange *exchange)
 {
   MhPendingRequest *request = add_request (table);
-  request->group = group;
-  request->message = g_object_ref (message);
-  request->finished_handler
-      = g_signal_connect (message, "finished", G_CALLBACK (on_finished), request);
-  soup_server_message_pause (message);
+  request->exchange = exchange;
   return request;
 }
 
--- a/src/server/pending-request.h
+++ b/src/server/pending-request.h
@@ -2,16 +2,13 @@
 #pragma once
 
 #include "protocol/user-messages.h"
-#include "server/http-listener.h"
+#include "server/http-exchange.h"
 #include "server/peer-connection.h"
 
-#include <libsoup/soup.h>
-
 /**
  * MhPendingRequests:
  *
- * A table of all pending requests, by their id. A request is removed when it is answered or when
- * its HTTP connection ends.
+ * A table of all pending requests, by their id. A request is removed when it is answered.
  */
 typedef struct MhPendingRequests MhPendingRequests;
 
@@ -22,9 +19,8 @@
  * @verb: what the user requests; 0: a worker's heartbeat
  * @job: (nullable): id of the job that the user's request is about
  * @body: (nullable): body of a submission, as it was received
- * @message: (nullable): the HTTP message, which is paused; %NULL when another controller forwarded
- *   the request
- * @group: (nullable): the group of the connection that @message belongs to
+ * @exchange: (nullable) (transfer none): the HTTP request, which waits for its response; %NULL when
+ *   another controller forwarded the request
  * @peer: (nullable): the connection on which another controller forwarded the request; %NULL after
  *   that connection is closed: a response can then no longer be sent
  * @peer_request_id: the other controller's id of the request
@@ -40,15 +36,11 @@
   MhUserVerb verb;
   char *job;
   GBytes *body;
-  SoupServerMessage *message;
-  MhConnectionGroup *group;
+  MhHttpExchange *exchange;
   MhPeerConnection *peer;
   guint64 peer_request_id;
   MhPeerConnection *forwarded_to;
   guint forward_timeout;
-  /*< private >*/
-  MhPendingRequests *table;
-  gulong finished_handler;
 } MhPendingRequest;
 
 /**
@@ -68,17 +60,14 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhPendingRequests, mh_pending_requests_free)
 
 /**
- * mh_pending_requests_add_message:
+ * mh_pending_requests_add_exchange:
  * @table: a table
- * @message: (transfer none): an HTTP message; it is paused, and its request is removed from the
- * table when the message is finished
- * @group: (transfer none): the group of the message's connection
+ * @exchange: (transfer none): an HTTP request that is to be answered later
  *
  * Returns: (transfer none): a new request
  */
 MhPendingRequest *
-mh_pending_requests_add_message (MhPendingRequests *table, SoupServerMessage *message,
-                                 MhConnectionGroup *group);
+mh_pending_requests_add_exchange (MhPendingRequests *table, MhHttpExchange *exchange);
 
 /**
  * mh_pending_requests_add_forwarded:
@@ -97,8 +86,7 @@
  * @table: a table
  * @id: id of a request
  *
- * Returns: (transfer none) (nullable): the request; %NULL when it is not in the table, for example
- *   because its connection has ended
+ * Returns: (transfer none) (nullable): the request; %NULL when it has been answered
  */
 MhPendingRequest *
 mh_pending_requests_lookup (MhPendingRequests *table, guint64 id);
--- a/src/server/server.c
+++ b/src/server/server.c
@@ -64,7 +64,7 @@
 static void
 note_response (Server *server, const MhPendingRequest *request, const MhAction *action)
 {
-  MhResponseKind kind = request->message == NULL                    ? MH_RESPONSE_FORWARDED
+  MhResponseKind kind = request->exchange == NULL                   ? MH_RESPONSE_FORWARDED
                         : action->kind == MH_ACTION_RESPOND_TO_USER ? MH_RESPONSE_USER
                                                                     : MH_RESPONSE_HEARTBEAT;
   mh_process_stats_note_response (&server->stats, kind,
@@ -76,9 +76,9 @@
 {
   const MhPendingRequest *request = mh_pending_requests_lookup (server->requests, action->id);
   if (request == NULL)
-    return; /* the connection of the user or worker has ended */
+    return;
   note_response (server, request, action);
-  if (request->message == NULL)
+  if (request->exchange == NULL)
     {
       if (request->peer)
         mh_peer_connection_send (request->peer, mh_controller_response_encode (
--- a/tests/test-loopback.c
+++ b/tests/test-loopback.c
@@ -481,6 +481,83 @@
   return mh_value_serialize (heartbeat);
 }
 
+/* Receives one byte, and lets the stand-ins run until it has come. */
+static char
+receive_byte (GSocket *socket)
+{
+  gint64 end_us = g_get_monotonic_time () + MAX_WAIT_US;
+  char byte;
+  for (;;)
+    {
+      g_autoptr (GError) error = NULL;
+      gssize size = g_socket_receive (socket, &byte, 1, NULL, &error);
+      if (size == 1)
+        return byte;
+      g_assert_cmpint (size, !=, 0); /* closed */
+      g_assert_error (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+      g_assert_cmpint (g_get_monotonic_time (), <, end_us);
+      g_main_context_iteration (NULL, TRUE);
+    }
+}
+
+/* Sends a request over an open connection, reads the whole response and returns its header. */
+static char *
+send_over (GSocket *socket, const char *method, const char *path, GBytes *body)
+{
+  static const char length_name[] = "\r\nContent-Length: ";
+  gsize size = 0;
+  const char *data = body ? g_bytes_get_data (body, &size) : NULL;
+  g_autoptr (GString) request = g_string_new (NULL);
+  g_autoptr (GString) header = g_string_new (NULL);
+  g_string_printf (request, "%s %s HTTP/1.1\r\nHost: node\r\nContent-Length: %u\r\n\r\n", method,
+                   path, (guint)size);
+  g_string_append_len (request, data, (gssize)size);
+  g_assert_cmpint (g_socket_send (socket, request->str, request->len, NULL, NULL), ==,
+                   (gssize)request->len);
+  g_socket_set_blocking (socket, FALSE);
+  while (strstr (header->str, "\r\n\r\n") == NULL)
+    g_string_append_c (header, receive_byte (socket));
+  const char *length = strstr (header->str, length_name);
+  g_assert_nonnull (length);
+  for (guint64 rest = g_ascii_strtoull (length + strlen (length_name), NULL, 10); rest > 0; rest--)
+    receive_byte (socket);
+  return g_string_free (g_steal_pointer (&header), FALSE);
+}
+
+/* Guards against a submission or a question that is lost because the connection, which the client
+   uses again, was closed after an earlier response; at the leader and at those that forward to it.
+ */
+static void
+test_requests_over_one_connection (void)
+{
+  for (guint node = 0; node < NODES; node++)
+    {
+      g_autofree char *id = g_strdup_printf ("j-00010%u", node);
+      g_autofree char *path = g_strdup_printf ("/submissions/%s", id);
+      g_autofree char *cancellation_path = g_strdup_printf ("%s/withdraw", path);
+      g_autoptr (GBytes) body = encode_submission (id, "red", MH_SHAPE_SERVICE, 1, 0);
+      g_autoptr (GSocket) socket = connect_to (node);
+      const struct
+      {
+        const char *method, *path;
+        GBytes *body;
+        const char *status;
+      } steps[] = { { "GET", path, NULL, "HTTP/1.1 404" },
+                    { "POST", "/submissions", body, "HTTP/1.1 201" },
+                    { "GET", path, NULL, "HTTP/1.1 200" },
+                    { "POST", "/submissions", body, "HTTP/1.1 200" },
+                    { "POST", cancellation_path, NULL, "HTTP/1.1 200" },
+                    { "GET", path, NULL, "HTTP/1.1 200" } };
+      for (guint i = 0; i < G_N_ELEMENTS (steps); i++)
+        {
+          g_autofree char *header
+              = send_over (socket, steps[i].method, steps[i].path, steps[i].body);
+          g_assert_true (g_str_has_prefix (header, steps[i].status));
+          g_assert_null (strstr (header, "Connection: close"));
+        }
+    }
+}
+
 /* Sends a heartbeat over a new connection and returns the headers of the response. libsoup's client
    cannot be used: after a response 421 it sends the message again, without the body, and then ends
    with an error, so that this test failed whenever node 0 was not the leader. */
@@ -618,6 +695,7 @@
   g_test_add_func ("/loopback/refused-requests", test_refused_requests);
   g_test_add_func ("/loopback/job-array-known-to-all-controllers",
                    test_job_array_known_to_all_controllers);
+  g_test_add_func ("/loopback/requests-over-one-connection", test_requests_over_one_connection);
   g_test_add_func ("/loopback/heartbeats-near-connection-limit",
                    test_heartbeats_near_connection_limit);
   g_test_add_func ("/loopback/restart-each-controller", test_restart_each_controller);
--- a/tests/test-metrics.c
+++ b/tests/test-metrics.c
@@ -7,6 +7,9 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+/* The endpoint serves this many connections at a time. */
+#define IDLE_CLIENTS 4u
+
 #define STATUS_INTERVAL_S 10
 
 /* ---- the endpoint ---- */
@@ -125,6 +128,28 @@
     }
 }
 
+/* Guards against clients that connect, stay idle and so keep the scraper out for ever. */
+static void
+test_idle_clients_make_room (void)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSocketAddress) address = find_free_address ();
+  g_autoptr (MhMetricsServer) server
+      = mh_metrics_server_new (address, format_example, NULL, &error);
+  g_autoptr (GPtrArray) idle = g_ptr_array_new_with_free_func (g_object_unref);
+  g_autofree char *allowed = NULL;
+  g_assert_no_error (error);
+  g_assert_nonnull (server);
+  for (guint i = 0; i < IDLE_CLIENTS; i++)
+    {
+      GSocket *client
+          = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
+      g_ptr_array_add (idle, client);
+      g_assert_true (g_socket_connect (client, address, NULL, NULL));
+    }
+  g_assert_cmpuint (request (address, "GET", "/metrics", &allowed), ==, 200);
+}
+
 /* ---- the status line ---- */
 
 static bool
@@ -168,6 +193,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/metrics/exposition-format", test_exposition_format);
   g_test_add_func ("/metrics/endpoint-methods", test_endpoint_methods);
+  g_test_add_func ("/metrics/idle-clients-make-room", test_idle_clients_make_room);
   simulation_test_add ("/status/unavailable-reasons", 81, test_unavailable_reasons);
   return g_test_run ();
 }
