Probe silent peers: keepalive on connections between controllers

Cause: a controller that ends without a packet (a partition, power) leaves the connections that it opened open at the others for ever: nothing is sent on them that could time out.

Change: both ends get the keepalive options of socket-keepalive. Evidence: /server/peer-connection/silent-peer-is-probed fails with the call taken out (SO_KEEPALIVE is 0) and passes with it.

--- a/src/server/peer-connection.c
+++ b/src/server/peer-connection.c
@@ -1,5 +1,7 @@
 #include "server/peer-connection.h"
 
+#include "server/socket-keepalive.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -172,8 +174,10 @@
 static void
 start (MhPeerConnection *self, GSocketConnection *socket)
 {
+  GSocket *tcp_socket = g_socket_connection_get_socket (socket);
   self->socket = g_object_ref (socket);
-  g_socket_set_option (g_socket_connection_get_socket (socket), IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  g_socket_set_option (tcp_socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+  mh_socket_enable_keepalive (g_socket_get_fd (tcp_socket));
   start_read (self);
   flush (self);
 }
--- a/tests/test-server.c
+++ b/tests/test-server.c
@@ -7,8 +7,11 @@
 #include "server/socket-address.h"
 
 #include <libsoup/soup.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* Guards against an address that is parsed wrongly: the controller would listen on another one or
    on none. */
@@ -305,6 +308,29 @@
   g_assert_null (fixture->connected);
 }
 
+static int
+get_socket_option (GSocket *socket, int level, int option)
+{
+  int value = 0;
+  g_assert_true (g_socket_get_option (socket, level, option, &value, NULL));
+  return value;
+}
+
+/* Guards against connections of a controller that has ended without a packet, which would stay open
+   for ever: the kernel has to find that out within two minutes. */
+static void
+test_peer_silent_is_probed (PeerFixture *fixture, gconstpointer data)
+{
+  (void)data;
+  accept_peer (fixture);
+  GSocket *socket = g_socket_connection_get_socket (fixture->socket);
+  g_assert_cmpint (get_socket_option (socket, SOL_SOCKET, SO_KEEPALIVE), ==, 1);
+  g_assert_cmpint (get_socket_option (socket, IPPROTO_TCP, TCP_KEEPIDLE)
+                       + get_socket_option (socket, IPPROTO_TCP, TCP_KEEPINTVL)
+                             * get_socket_option (socket, IPPROTO_TCP, TCP_KEEPCNT),
+                   <=, 120);
+}
+
 /* ---- requests between controllers ---- */
 
 /* A user's request that is forwarded over the fixture's outgoing connection. */
@@ -468,6 +494,8 @@
               test_peer_closed_by_handler, peer_tear_down);
   g_test_add ("/server/peer-connection/malformed-record", PeerFixture, NULL, peer_set_up,
               test_peer_malformed_record, peer_tear_down);
+  g_test_add ("/server/peer-connection/silent-peer-is-probed", PeerFixture, NULL, peer_set_up,
+              test_peer_silent_is_probed, peer_tear_down);
   g_test_add ("/server/peer-connection/closed-by-other-side", PeerFixture, NULL, peer_set_up,
               test_peer_closed_by_other_side, peer_tear_down);
   g_test_add ("/server/request-forwarder/response", ForwardFixture, NULL, forward_set_up,
