Measure how long requests wait to be read

Cause: an overloaded controller could not be told from silent workers: the main loop's lag was at most 0.2 s while heartbeats waited in its sockets (docs/incidents/broke-at-size.md).

Change: the HTTP daemon notes when the main loop last found no connection or request waiting. The status line and the metrics show the longest time since then (unread_input_ms, minthill_unread_input_seconds). No decision rests on it yet.

Evidence: /http-server/unread-input-is-known: the time does not advance while a request waits in the socket, and does once it was read; new line of /metrics/exposition-format.

--- a/src/server/http-daemon.c
+++ b/src/server/http-daemon.c
@@ -16,6 +16,8 @@
   GHashTable *exchanges; /* MhHttpExchange; all that exist */
   guint connections;     /* open ones */
   guint max_connections;
+  gpointer epoll_tag;   /* of the descriptor that is readable while input waits */
+  gint64 input_read_us; /* when the main loop last found no input waiting */
 };
 
 guint
@@ -24,6 +26,12 @@
   return self->connections;
 }
 
+gint64
+mh_http_daemon_get_input_read_us (const MhHttpDaemon *self)
+{
+  return self->input_read_us;
+}
+
 /* ---- callbacks of libmicrohttpd ---- */
 
 /* libmicrohttpd prescribes the parameters. */
@@ -105,7 +113,19 @@
   return G_SOURCE_CONTINUE;
 }
 
-static GSourceFuncs daemon_funcs = { .dispatch = dispatch };
+/* Runs after each poll of the main loop. GLib itself dispatches the source if its descriptor is
+   ready. */
+static gboolean
+check (GSource *source)
+{
+  MhHttpDaemon *self = (MhHttpDaemon *)source;
+  bool is_due = g_source_get_ready_time (source) == 0;
+  if (!is_due && g_source_query_unix_fd (source, self->epoll_tag) == 0)
+    self->input_read_us = g_source_get_time (source);
+  return FALSE;
+}
+
+static GSourceFuncs daemon_funcs = { .check = check, .dispatch = dispatch };
 
 static GSocket *
 listen_on (GSocketAddress *address, guint backlog, GError **error)
@@ -124,7 +144,7 @@
 attach_to_main_loop (MhHttpDaemon *self)
 {
   const union MHD_DaemonInfo *info = MHD_get_daemon_info (self->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  g_source_add_unix_fd (&self->source, info->epoll_fd, G_IO_IN);
+  self->epoll_tag = g_source_add_unix_fd (&self->source, info->epoll_fd, G_IO_IN);
   g_source_attach (&self->source, NULL);
 }
 
@@ -139,6 +159,7 @@
   MhHttpDaemon *self = (MhHttpDaemon *)g_source_new (&daemon_funcs, sizeof (MhHttpDaemon));
   self->socket = g_steal_pointer (&socket);
   self->max_connections = limits->max_connections;
+  self->input_read_us = g_get_monotonic_time ();
   self->func = func;
   self->user_data = user_data;
   self->exchanges = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)mh_http_exchange_free, NULL);
--- a/src/server/http-daemon.h
+++ b/src/server/http-daemon.h
@@ -60,6 +60,16 @@
 mh_http_daemon_free (MhHttpDaemon *self);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (MhHttpDaemon, mh_http_daemon_free)
 
+/**
+ * mh_http_daemon_get_input_read_us:
+ * @self: a daemon
+ *
+ * Returns: a monotonic time in microseconds, by which all connections and requests that had arrived
+ *   had also been read: the last time at which the main loop found none waiting
+ */
+gint64
+mh_http_daemon_get_input_read_us (const MhHttpDaemon *self);
+
 /**
  * mh_http_daemon_count_connections:
  * @self: a daemon
--- a/src/server/http-server.c
+++ b/src/server/http-server.c
@@ -208,6 +208,12 @@
   return mh_http_daemon_count_connections (self->daemon);
 }
 
+gint64
+mh_http_server_get_input_read_us (const MhHttpServer *self)
+{
+  return mh_http_daemon_get_input_read_us (self->daemon);
+}
+
 void
 mh_http_server_free (MhHttpServer *self)
 {
--- a/src/server/http-server.h
+++ b/src/server/http-server.h
@@ -74,6 +74,16 @@
 guint
 mh_http_server_count_connections (const MhHttpServer *self);
 
+/**
+ * mh_http_server_get_input_read_us:
+ * @self: a server that listens
+ *
+ * Returns: a monotonic time in microseconds, by which all requests that had arrived had also been
+ *   read
+ */
+gint64
+mh_http_server_get_input_read_us (const MhHttpServer *self);
+
 /**
  * mh_http_server_respond_to_user:
  * @self: a server
--- a/src/server/metrics-text.c
+++ b/src/server/metrics-text.c
@@ -88,6 +88,9 @@
   append_gauge (text, "minthill_main_loop_lag_seconds",
                 "Longest delay of a wake-up since the last status line.",
                 SECONDS (metrics->process.recent_max_lag_us));
+  append_gauge (text, "minthill_unread_input_seconds",
+                "Longest time since the last status line for which requests waited to be read.",
+                SECONDS (metrics->process.recent_max_unread_us));
   append_gauge (text, "minthill_connections", "Open connections of users and workers.",
                 metrics->connections);
   append_gauge (text, "minthill_pending_requests", "Requests without a response yet.",
--- a/src/server/process-stats.c
+++ b/src/server/process-stats.c
@@ -7,6 +7,13 @@
   stats->recent_max_lag_us = MAX (stats->recent_max_lag_us, lag_us);
 }
 
+void
+mh_process_stats_note_unread (MhProcessStats *stats, gint64 unread_us)
+{
+  g_return_if_fail (stats != NULL);
+  stats->recent_max_unread_us = MAX (stats->recent_max_unread_us, unread_us);
+}
+
 void
 mh_process_stats_note_response (MhProcessStats *stats, MhResponseKind kind, gint64 elapsed_us)
 {
@@ -22,6 +29,7 @@
 {
   g_return_if_fail (stats != NULL);
   stats->recent_max_lag_us = 0;
+  stats->recent_max_unread_us = 0;
   for (guint i = 0; i < MH_RESPONSE_KINDS; i++)
     stats->responses[i].recent_max_us = 0;
 }
--- a/src/server/process-stats.h
+++ b/src/server/process-stats.h
@@ -41,6 +41,8 @@
  * @responses: response times by kind
  * @recent_max_lag_us: since the last status line, the longest time by which the main loop was late
  * for a wake-up of the controller, in microseconds
+ * @recent_max_unread_us: since the last status line, the longest time for which requests of users
+ * and workers had been waiting to be read without interruption, in microseconds
  *
  * Measurements of the process.
  */
@@ -48,6 +50,7 @@
 {
   MhResponseStats responses[MH_RESPONSE_KINDS];
   gint64 recent_max_lag_us;
+  gint64 recent_max_unread_us;
 } MhProcessStats;
 
 /**
@@ -58,6 +61,14 @@
 void
 mh_process_stats_note_lag (MhProcessStats *stats, gint64 lag_us);
 
+/**
+ * mh_process_stats_note_unread:
+ * @stats: measurements
+ * @unread_us: for how long requests have been waiting to be read, in microseconds
+ */
+void
+mh_process_stats_note_unread (MhProcessStats *stats, gint64 unread_us);
+
 /**
  * mh_process_stats_note_response:
  * @stats: measurements
--- a/src/server/server.c
+++ b/src/server/server.c
@@ -254,6 +254,8 @@
   gint64 due_us = mh_core_next_wake_up_us (server->core);
   if (due_us > 0) /* not the first wake-up */
     mh_process_stats_note_lag (&server->stats, now.mono_us - due_us);
+  mh_process_stats_note_unread (
+      &server->stats, now.mono_us - mh_http_server_get_input_read_us (server->http_server));
   mh_core_tick (server->core, &now);
   dispatch_actions (server);
   return G_SOURCE_CONTINUE;
@@ -267,9 +269,11 @@
   Server *server = data;
   const MhProcessStats *stats = &server->stats;
   const MhResponseStats *responses = stats->responses;
-  g_info ("process status main_loop_lag_ms=%d user_response_ms=%d forwarded_response_ms=%d "
+  g_info ("process status main_loop_lag_ms=%d unread_input_ms=%d user_response_ms=%d "
+          "forwarded_response_ms=%d "
           "heartbeat_response_ms=%d connections=%u pending_requests=%u",
           (int)(stats->recent_max_lag_us / MH_MILLISECOND_US),
+          (int)(stats->recent_max_unread_us / MH_MILLISECOND_US),
           (int)(responses[MH_RESPONSE_USER].recent_max_us / MH_MILLISECOND_US),
           (int)(responses[MH_RESPONSE_FORWARDED].recent_max_us / MH_MILLISECOND_US),
           (int)(responses[MH_RESPONSE_HEARTBEAT].recent_max_us / MH_MILLISECOND_US),
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -464,6 +464,26 @@
   assert_response (probe, "HTTP/1.1 503");
 }
 
+/* Guards against a controller that does not know that requests wait to be read, and takes its own
+   lateness for silence. */
+static void
+test_unread_input_is_known (Fixture *fixture, gconstpointer data)
+{
+  (void)data;
+  iterate ();
+  gint64 connected_us = g_get_monotonic_time ();
+  g_autoptr (GSocket) client = connect_client (fixture);
+  send_text (client, STATUS_REQUEST ("j-000001"));
+  g_usleep (50 * 1000);
+  g_assert_cmpint (mh_http_server_get_input_read_us (fixture->server), <=, connected_us);
+  g_assert_true (g_main_context_iteration (NULL, FALSE)); /* finds the connection waiting */
+  g_assert_cmpint (mh_http_server_get_input_read_us (fixture->server), <=, connected_us);
+  assert_response (client, "HTTP/1.1 404");
+  gint64 answered_us = g_get_monotonic_time ();
+  iterate ();
+  g_assert_cmpint (mh_http_server_get_input_read_us (fixture->server), >=, answered_us);
+}
+
 /* ---- bad input ---- */
 
 /* Guards against a request that is never completed and keeps others from being answered. */
@@ -487,6 +507,18 @@
   assert_response (slow, "HTTP/1.1 400");
 }
 
+static void
+receive_until_closed (GSocket *client, GString *responses)
+{
+  for (bool open = true; open;)
+    {
+      g_autofree char *response = receive (client);
+      g_assert_nonnull (response);
+      g_string_append (responses, response);
+      open = *response != '\0';
+    }
+}
+
 /* Guards against the rest of a refused request that is taken for the next request. */
 static void
 test_refused_request_ends_connection (Fixture *fixture, gconstpointer data)
@@ -501,13 +533,9 @@
       g_autoptr (GSocket) client = connect_client (fixture);
       g_autofree char *text = g_strconcat (malformed[i], STATUS_REQUEST ("j-000001"), NULL);
       send_text (client, text);
-      for (char *response = receive (client); g_strcmp0 (response, "") != 0;
-           response = receive (client))
-        {
-          g_assert_nonnull (response);
-          g_assert_null (strstr (response, "HTTP/1.1 404"));
-          g_free (response);
-        }
+      g_autoptr (GString) responses = g_string_new (NULL);
+      receive_until_closed (client, responses);
+      g_assert_null (strstr (responses->str, "HTTP/1.1 404"));
       wait_for_connections (fixture, 0);
     }
 }
@@ -604,6 +632,7 @@
   add_test ("/http-server/workers-closed-before-users", test_workers_closed_before_users);
   add_test ("/http-server/connection-limit", test_connection_limit);
   add_test ("/http-server/not-ready-closes-connections", test_not_ready_closes_connections);
+  add_test ("/http-server/unread-input-is-known", test_unread_input_is_known);
   add_test ("/http-server/incomplete-request-holds-one-connection",
             test_incomplete_request_holds_one_connection);
   add_test ("/http-server/refused-request-ends-connection", test_refused_request_ends_connection);
--- a/tests/test-metrics.c
+++ b/tests/test-metrics.c
@@ -28,6 +28,7 @@
       = (MhBacklog){ .waiting = 4, .oldest_age_us = 1500 * MH_MILLISECOND_US };
   metrics.counts[MH_COUNTER_LOOKUP_BACKLOG] = 9;
   mh_process_stats_note_lag (&metrics.process, 40 * MH_MILLISECOND_US);
+  mh_process_stats_note_unread (&metrics.process, 3 * MH_SECOND_US);
   mh_process_stats_note_response (&metrics.process, MH_RESPONSE_USER, 2 * MH_SECOND_US);
   return metrics;
 }
@@ -45,6 +46,7 @@
           "minthill_queue_oldest_age_seconds{queue=\"store_background\"} 1.5\n",
           "minthill_events_total{event=\"lookup_backlog\"} 9\n",
           "minthill_main_loop_lag_seconds 0.040000000000000001\n",
+          "minthill_unread_input_seconds 3\n",
           "minthill_connections 5\n",
           "minthill_response_seconds_sum{kind=\"user\"} 2\n",
           "minthill_response_seconds_count{kind=\"user\"} 1\n" };
