--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -1,4 +1,5 @@
 /* Connections of users and workers, with the HTTP server alone on loopback. */
+#include "free-address.h"
 #include "protocol/route.h"
 #include "server/http-server.h"
 
@@ -92,16 +93,6 @@
   g_array_set_size (fixture->pending, 0);
 }
 
-static GSocketAddress *
-find_free_address (void)
-{
-  g_autoptr (GSocket) socket
-      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-  g_autoptr (GSocketAddress) any = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
-  g_assert_true (g_socket_bind (socket, any, TRUE, NULL));
-  return g_socket_get_local_address (socket, NULL);
-}
-
 static void
 set_up (Fixture *fixture, gconstpointer data)
 {
--- a/tests/test-loopback.c
+++ b/tests/test-loopback.c
@@ -1,5 +1,6 @@
 /* Three processes of the real program against the stand-ins, over loopback. No test depends on the
    speed of the machine: each step waits for the state that it needs. */
+#include "free-address.h"
 #include "protocol/user-messages.h"
 #include "settings/settings-loader.h"
 #include "stand-in/environment.h"
@@ -42,17 +43,6 @@
   GHashTable *waiting_watches; /* paused messages; each is the token of its watch */
 } cluster;
 
-static guint
-find_free_port (void)
-{
-  g_autoptr (GSocket) socket
-      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-  g_autoptr (GSocketAddress) any = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
-  g_assert_true (g_socket_bind (socket, any, FALSE, NULL));
-  g_autoptr (GSocketAddress) bound = g_socket_get_local_address (socket, NULL);
-  return g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
-}
-
 static void
 respond (SoupServerMessage *message, guint status, MhValue *body)
 {
--- a/tests/test-metrics.c
+++ b/tests/test-metrics.c
@@ -1,5 +1,6 @@
 /* The metrics endpoint and the status lines, by which an operator tells apart why users are not
    answered. */
+#include "free-address.h"
 #include "server/metrics-server.h"
 #include "server/metrics-text.h"
 #include "steps.h"
@@ -67,16 +68,6 @@
   return mh_metrics_format (&metrics);
 }
 
-static GSocketAddress *
-find_free_address (void)
-{
-  g_autoptr (GSocket) socket
-      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-  g_autoptr (GSocketAddress) any = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
-  g_assert_true (g_socket_bind (socket, any, FALSE, NULL));
-  return g_socket_get_local_address (socket, NULL);
-}
-
 static void
 on_response (GObject *source, GAsyncResult *result, gpointer data)
 {
