Count silence only until the time at which all input was read

What callers saw: a leader that could not keep up released machines that went on reporting, and so killed the work on them.

Cause: silence was counted until now, while heartbeats and answers to probes waited in the leader's own sockets (action on stale knowledge).

Change: each input carries the time until which all requests were read, as the main loop knows it. mh_cluster_silence_us, which all conclusions from silence ask, counts until then, and at least until a worker lease ago. A probe's time-out does not count while input was unread for half of it; the machine is then probed again, also after a pause of the process, where it was not before.

Why it works: a heartbeat that is in the sockets arrived after that time, so nothing is concluded from the time in which it may have arrived; a machine that has gone sends nothing that could move the time of its last message.

Evidence, on the fake clock: overload/unread-heartbeats ("reason=silent" logged) fails without the first guard, unread-heartbeats-since-failover without the second, dead-machine-despite-unread-input without the bound; each passes with all three.

--- a/src/cluster/failure-detection.c
+++ b/src/cluster/failure-detection.c
@@ -15,6 +15,8 @@
    lost packet. */
 #define MAX_FAILED_PROBES 2u
 #define PROBE_TIMEOUT_US MH_SECOND_US
+/* A probe that times out while input has been unread for this long may have been answered. */
+#define MAX_INPUT_DELAY_US (PROBE_TIMEOUT_US / 2)
 /* Rate limit of first probes, per second and processor core; the second probe, after one that has
    failed, needs no token. The rate is scaled by the controller's share of a core, so that probing
    does not exceed what that share can process. */
@@ -85,13 +87,22 @@
 static void
 send_probe (MhCluster *cluster, MhMachine *machine);
 
+/* A time-out does not count if it spans a pause of this process, or if this process has input that
+   it has not read: the response may have arrived. */
+static bool
+is_time_out_conclusive (const MhCluster *cluster, const MhMachine *machine)
+{
+  const MhRuntime *runtime = cluster->runtime;
+  return machine->probe.first_sent_us > mh_runtime_resumed_us (runtime)
+         && mh_runtime_now_us (runtime) - mh_runtime_input_read_us (runtime) < MAX_INPUT_DELAY_US;
+}
+
 static void
 handle_probe_failure (MhCluster *cluster, MhMachine *machine)
 {
-  /* A time-out that spans a pause of this process does not count: the response may have arrived
-     during the pause. */
-  if (machine->probe.first_sent_us > mh_runtime_resumed_us (cluster->runtime)
-      && ++machine->probe.failures < MAX_FAILED_PROBES)
+  if (!is_time_out_conclusive (cluster, machine))
+    machine->probe.failures = 0; /* it is probed again */
+  else if (++machine->probe.failures < MAX_FAILED_PROBES)
     send_probe (cluster, machine);
 }
 
--- a/src/cluster/machine-registry.c
+++ b/src/cluster/machine-registry.c
@@ -111,7 +111,7 @@
 gint64
 mh_cluster_silence_us (const MhCluster *cluster, gint64 last_message_us)
 {
-  return mh_runtime_now_us (cluster->runtime)
+  return mh_runtime_input_read_us (cluster->runtime)
          - MAX (last_message_us, mh_runtime_resumed_us (cluster->runtime));
 }
 
--- a/src/runtime/runtime.c
+++ b/src/runtime/runtime.c
@@ -98,6 +98,16 @@
   return runtime->resumed_us;
 }
 
+gint64
+mh_runtime_input_read_us (const MhRuntime *runtime)
+{
+  const MhNow *now = &runtime->now;
+  if (now->input_read_us == 0)
+    return now->mono_us;
+  return CLAMP (now->input_read_us, now->mono_us - runtime->settings->worker_lease_us,
+                now->mono_us);
+}
+
 void
 mh_runtime_mark_resumed (MhRuntime *runtime)
 {
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -11,6 +11,8 @@
  * @mono_us: monotonic time, in microseconds
  * @wall_us: wall-clock time, in microseconds since 1970
  * @jitter: a new random number in [0, 1)
+ * @input_read_us: monotonic time, in microseconds, by which all messages of workers that had
+ * arrived had also been passed as inputs; 0: @mono_us
  *
  * The time and random number that the host passes with each input.
  */
@@ -19,6 +21,7 @@
   gint64 mono_us;
   gint64 wall_us;
   double jitter;
+  gint64 input_read_us;
 } MhNow;
 
 /** MhRuntime: the time of the current input, wake-ups, actions and log lines */
@@ -147,6 +150,19 @@
 gint64
 mh_runtime_resumed_us (const MhRuntime *runtime);
 
+/**
+ * mh_runtime_input_read_us:
+ * @runtime: a runtime
+ *
+ * A controller that cannot keep up has messages of workers that it has not read. Silence shows
+ * nothing about a worker for the time after this one. It is never more than a worker lease ago:
+ * after that, a worker without a response has ended its tasks.
+ *
+ * Returns: the monotonic time until which silence counts, in microseconds
+ */
+gint64
+mh_runtime_input_read_us (const MhRuntime *runtime);
+
 /**
  * mh_runtime_mark_resumed:
  * @runtime: a runtime
--- a/src/server/server.c
+++ b/src/server/server.c
@@ -33,6 +33,14 @@
   bool dispatching; /* dispatch_actions() runs */
 } Server;
 
+static MhNow
+read_clock (const Server *server)
+{
+  MhNow now = mh_process_clock_read (server->clock);
+  now.input_read_us = mh_http_server_get_input_read_us (server->http_server);
+  return now;
+}
+
 /* ---- actions of the controller ---- */
 
 static void
@@ -43,7 +51,7 @@
       = request ? mh_peer_network_get_connection (server->peers, action->node) : NULL;
   if (connection == NULL)
     {
-      MhNow now = mh_process_clock_read (server->clock);
+      MhNow now = read_clock (server);
       mh_core_receive_forward_response (server->core, &now, action->id, NULL);
       return;
     }
@@ -157,7 +165,7 @@
 on_user_request (const MhPendingRequest *request, MhJobSpec *spec, gpointer data)
 {
   Server *server = data;
-  MhNow now = mh_process_clock_read (server->clock);
+  MhNow now = read_clock (server);
   const MhUserRequest user_request = { .id = request->id,
                                        .verb = request->verb,
                                        .job_id = request->job,
@@ -171,7 +179,7 @@
 on_heartbeat (const MhPendingRequest *request, const MhHeartbeat *heartbeat, gpointer data)
 {
   Server *server = data;
-  MhNow now = mh_process_clock_read (server->clock);
+  MhNow now = read_clock (server);
   mh_core_receive_heartbeat (server->core, &now, request->id, heartbeat);
   dispatch_actions (server);
 }
@@ -180,7 +188,7 @@
 on_response (guint64 id, guint status, const MhValue *body, gpointer data)
 {
   Server *server = data;
-  MhNow now = mh_process_clock_read (server->clock);
+  MhNow now = read_clock (server);
   mh_core_receive_response (server->core, &now, id, status, body);
   dispatch_actions (server);
 }
@@ -189,7 +197,7 @@
 on_forward_outcome (guint64 id, const MhUserResponse *response, gpointer data)
 {
   Server *server = data;
-  MhNow now = mh_process_clock_read (server->clock);
+  MhNow now = read_clock (server);
   mh_core_receive_forward_response (server->core, &now, id, response);
   dispatch_actions (server);
 }
@@ -199,7 +207,7 @@
                       const MhControllerMessage *message)
 {
   MhJobSpec *spec;
-  MhNow now = mh_process_clock_read (server->clock);
+  MhNow now = read_clock (server);
   const MhPendingRequest *request
       = mh_request_forwarder_receive (server->forwarder, connection, message, &spec);
   if (request == NULL)
@@ -216,7 +224,7 @@
 static void
 on_announcement (Server *server, const MhControllerMessage *announcement)
 {
-  MhNow now = mh_process_clock_read (server->clock);
+  MhNow now = read_clock (server);
   mh_core_receive_announcement (server->core, &now, announcement->node, announcement->epoch);
   dispatch_actions (server);
 }
@@ -250,12 +258,11 @@
 on_wake_up (gpointer data)
 {
   Server *server = data;
-  MhNow now = mh_process_clock_read (server->clock);
+  MhNow now = read_clock (server);
   gint64 due_us = mh_core_next_wake_up_us (server->core);
   if (due_us > 0) /* not the first wake-up */
     mh_process_stats_note_lag (&server->stats, now.mono_us - due_us);
-  mh_process_stats_note_unread (
-      &server->stats, now.mono_us - mh_http_server_get_input_read_us (server->http_server));
+  mh_process_stats_note_unread (&server->stats, now.mono_us - now.input_read_us);
   mh_core_tick (server->core, &now);
   dispatch_actions (server);
   return G_SOURCE_CONTINUE;
@@ -373,7 +380,7 @@
 static void
 start_controller (Server *server)
 {
-  MhNow now = mh_process_clock_read (server->clock);
+  MhNow now = read_clock (server);
   server->core = mh_core_new (server->settings, &now);
   server->timer = g_source_new (&timer_funcs, sizeof (GSource));
   g_source_set_callback (server->timer, on_wake_up, server, NULL);
--- a/tests/stand-in/controller-node.c
+++ b/tests/stand-in/controller-node.c
@@ -56,9 +56,8 @@
 /* ---- clocks ---- */
 
 static gint64
-monotonic_us (const ControllerNode *node)
+monotonic_us (const ControllerNode *node, gint64 now_us)
 {
-  gint64 now_us = node->simulation->clock->now_us;
   return MH_SECOND_US * (node->index + 1) + (gint64)((double)now_us * (1 + node->clock_drift));
 }
 
@@ -66,7 +65,9 @@
 controller_node_now (ControllerNode *node)
 {
   gint64 now_us = node->simulation->clock->now_us;
-  return (MhNow){ .mono_us = monotonic_us (node),
+  gint64 read_us = node->input_unread_since_us;
+  return (MhNow){ .mono_us = monotonic_us (node, now_us),
+                  .input_read_us = read_us ? monotonic_us (node, read_us) : 0,
                   .wall_us = WALL_CLOCK_START_US + now_us
                              + (gint64)WALL_CLOCK_SKEW_PER_NODE_US * node->index,
                   .jitter = g_rand_double (node->simulation->random) };
--- a/tests/stand-in/controller-node.h
+++ b/tests/stand-in/controller-node.h
@@ -64,6 +64,8 @@
  * @heartbeats_lost_until_us: until then no heartbeat reaches it
  * @paused_until_us: its process is paused until then, while its clocks run on; events for it are
  *   delayed until then
+ * @input_unread_since_us: messages of workers that arrived since then may be unread, and its
+ * process knows that; 0: all are read
  * @preemption_site_us: how long it is paused for each machine that it examines for a preemption,
  *   because that takes processor time; 0: not
  * @preemption_sites: machines that it had examined at the last input
@@ -95,6 +97,7 @@
   gint64 heartbeats_lost_until_us;
   gint64 paused_until_us;
   gint64 pause_before_acting_us;
+  gint64 input_unread_since_us;
   double preemption_site_us;
   guint64 preemption_sites;
 };
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -14,6 +14,10 @@
 /* Two heartbeats and the time in which workers find the leader. */
 #define RECOVERY_S 14
 #define QUIET_S 30
+#define BUSY_MACHINES 9u
+#define BUSY_TASKS 12u
+/* The call to the cloud, and the interval of checks. */
+#define RELEASE_US (5 * MH_SECOND_US)
 
 static const char *const zones[] = { "a", "b", "c", "d" };
 
@@ -124,10 +128,109 @@
   simulation_free (simulation);
 }
 
+/* ---- a leader that reads late ---- */
+
+static void
+set_input_unread (Simulation *simulation, bool unread)
+{
+  for (guint i = 0; i < SIMULATION_NODES; i++)
+    simulation->nodes[i].input_unread_since_us = unread ? simulation->clock->now_us : 0;
+}
+
+/* The leader gets nothing from every third worker, as if it had not read it. */
+static void
+leave_heartbeats_unread (Simulation *simulation, gint64 duration_us)
+{
+  set_input_unread (simulation, true);
+  for (guint i = 0; i < simulation->workers->len; i += 3)
+    {
+      Worker *worker = g_ptr_array_index (simulation->workers, i);
+      worker->cut_until_us = simulation->clock->now_us + duration_us;
+    }
+}
+
+static Simulation *
+busy_cluster_new (guint32 seed)
+{
+  Simulation *simulation = simulation_new (seed);
+  for (guint i = 0; i < BUSY_MACHINES; i++)
+    cloud_add_machine (simulation->cloud, "small", "a", false);
+  simulation_run (simulation, 10);
+  start_service (simulation, 1, BUSY_TASKS);
+  return simulation;
+}
+
+/* Longer than the limit on silence, and so short that no worker's lease expires. */
+static gint64
+unread_time_us (const Simulation *simulation)
+{
+  return simulation->settings->silence_limit_us + MH_SECOND_US / 2;
+}
+
+static void
+assert_nothing_released (Simulation *simulation, guint task_starts)
+{
+  g_assert_false (simulation_has_logged (simulation, "reason=silent"));
+  g_assert_false (simulation_has_logged (simulation, "reason=unreachable"));
+  g_assert_false (simulation_has_logged (simulation, "reason=heartbeats_missing"));
+  g_assert_cmpuint (simulation->rules->task_starts, ==, task_starts);
+  simulation_assert_rules (simulation);
+  simulation_free (simulation);
+}
+
+/* Guards against an overloaded leader that releases machines whose heartbeats it has not read. */
+static void
+test_unread_heartbeats (void)
+{
+  Simulation *simulation = busy_cluster_new (92);
+  guint starts = simulation->rules->task_starts;
+  gint64 duration_us = unread_time_us (simulation);
+  leave_heartbeats_unread (simulation, duration_us);
+  simulation_run (simulation, (double)duration_us / MH_SECOND_US);
+  set_input_unread (simulation, false);
+  simulation_run (simulation, QUIET_S);
+  assert_nothing_released (simulation, starts);
+}
+
+/* The same for a new leader, to which the workers have not reported. */
+static void
+test_unread_heartbeats_since_failover (void)
+{
+  Simulation *simulation = busy_cluster_new (93);
+  guint starts = simulation->rules->task_starts;
+  gint64 duration_us = unread_time_us (simulation);
+  leave_heartbeats_unread (simulation, duration_us);
+  simulation_stop_node (simulation, simulation_leader (simulation)->index);
+  simulation_run (simulation, (double)duration_us / MH_SECOND_US);
+  set_input_unread (simulation, false);
+  simulation_run (simulation, QUIET_S);
+  assert_nothing_released (simulation, starts);
+}
+
+/* Guards against a busy leader that keeps a machine for ever which has really gone. */
+static void
+test_dead_machine_despite_unread_input (void)
+{
+  Simulation *simulation = busy_cluster_new (94);
+  const MhSettings *settings = simulation->settings;
+  Machine *machine = worker_with_task (simulation, "j-000001/0")->machine;
+  machine->hung_until_us = simulation->clock->now_us + 300 * MH_SECOND_US;
+  set_input_unread (simulation, true);
+  gint64 bound_us = settings->silence_limit_us + settings->worker_lease_us + RELEASE_US;
+  WAIT (simulation, (double)bound_us / MH_SECOND_US, is_removed, machine);
+  simulation_assert_rules (simulation);
+  simulation_free (simulation);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/overload/preemption-outlasts-lease", test_preemption_outlasts_lease);
+  g_test_add_func ("/overload/unread-heartbeats", test_unread_heartbeats);
+  g_test_add_func ("/overload/unread-heartbeats-since-failover",
+                   test_unread_heartbeats_since_failover);
+  g_test_add_func ("/overload/dead-machine-despite-unread-input",
+                   test_dead_machine_despite_unread_input);
   return g_test_run ();
 }
