--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -14,6 +14,7 @@
 #define NOT_FOUND 404u
 #define WAIT_ITERATIONS 200u
 #define ITERATION_US 5000
+#define UNREAD_US 50000u
 /* The shares of MAX_CONNECTIONS within which workers and users keep theirs, and which are accepted.
  */
 #define WORKERS_KEPT 6u
@@ -465,7 +466,7 @@
   gint64 connected_us = g_get_monotonic_time ();
   g_autoptr (GSocket) client = connect_client (fixture);
   send_text (client, STATUS_REQUEST ("j-000001"));
-  g_usleep (50 * 1000);
+  g_usleep (UNREAD_US);
   g_assert_cmpint (mh_http_server_get_input_read_us (fixture->server), <=, connected_us);
   g_assert_true (g_main_context_iteration (NULL, FALSE)); /* finds the connection waiting */
   g_assert_cmpint (mh_http_server_get_input_read_us (fixture->server), <=, connected_us);
