Status lines and metrics: calls in flight, busy share of the main loop, oldest request

When questions stayed without an answer at about 4,000 machines, the log could not tell a controller without work from one that was overloaded: `main_loop_lag_ms` stayed near 0, because each input moves the next wake-up, and calls that had been handed to the HTTP client were in no figure.

The status line now has the part of the time in which the main loop was not idle, its longest iteration, the age of the oldest request without a response, and for each pool of connections the calls in flight and the age of the oldest; the metrics have the same. Calls that were forgotten at the end of a leadership still count as in flight until their outcome arrives, which they are. The table of pending calls is a module of its own (runtime/pending-calls). One change of behaviour follows from that: the limit on calls to workers counts forgotten ones too.

mh_call_queue_count_waiting and mh_pending_requests_count are gone: the backlogs have their numbers.

--- a/src/controller/status.c
+++ b/src/controller/status.c
@@ -22,6 +22,18 @@
   return names[queue];
 }
 
+const char *
+mh_status_call_pool_name (MhCallPool pool)
+{
+  static const char *const names[MH_CALL_POOLS] = {
+    [MH_CALL_POOL_LEASE] = "lease_calls",     [MH_CALL_POOL_STORE] = "store_calls",
+    [MH_CALL_POOL_USER_READS] = "user_reads", [MH_CALL_POOL_CLOUD] = "cloud_calls",
+    [MH_CALL_POOL_WORKERS] = "worker_calls",
+  };
+  g_return_val_if_fail ((guint)pool < MH_CALL_POOLS, "unknown");
+  return names[pool];
+}
+
 static const char *
 get_role (const MhElection *election)
 {
@@ -69,6 +81,8 @@
   queues[MH_STATUS_QUEUE_START_RECORDS] = mh_record_writer_get_backlog (writer, MH_URGENCY_START);
   queues[MH_STATUS_QUEUE_PROGRESS_RECORDS]
       = mh_record_writer_get_backlog (writer, MH_URGENCY_PROGRESS);
+  for (guint i = 0; i < MH_CALL_POOLS; i++)
+    status->in_flight[i] = mh_call_queue_get_in_flight (core->calls, (MhCallPool)i);
 }
 
 guint64
@@ -80,19 +94,22 @@
 
 /* ---- the periodic line ---- */
 
-/* Appends the queues that are not empty. */
 static void
-append_queues (GString *line, const MhStatus *status)
+append_backlog (GString *line, const char *name, const MhBacklog *backlog)
+{
+  if (backlog->waiting)
+    g_string_append_printf (line, " %s=%u %s_oldest_ms=%d", name, backlog->waiting, name,
+                            (int)(backlog->oldest_age_us / MH_MILLISECOND_US));
+}
+
+/* Appends the queues that are not empty, and the pools with calls in flight. */
+static void
+append_backlogs (GString *line, const MhStatus *status)
 {
   for (guint i = 0; i < MH_STATUS_QUEUES; i++)
-    {
-      const MhBacklog *backlog = &status->queues[i];
-      if (backlog->waiting)
-        g_string_append_printf (line, " %s=%u %s_oldest_ms=%d",
-                                mh_status_queue_name ((MhStatusQueue)i), backlog->waiting,
-                                mh_status_queue_name ((MhStatusQueue)i),
-                                (int)(backlog->oldest_age_us / MH_MILLISECOND_US));
-    }
+    append_backlog (line, mh_status_queue_name ((MhStatusQueue)i), &status->queues[i]);
+  for (guint i = 0; i < MH_CALL_POOLS; i++)
+    append_backlog (line, mh_status_call_pool_name ((MhCallPool)i), &status->in_flight[i]);
 }
 
 /* Appends the counters that are not 0. */
@@ -118,7 +135,7 @@
   MhStatus status;
   mh_core_get_status (core, &status);
   g_autoptr (GString) line = g_string_new (NULL);
-  append_queues (line, &status);
+  append_backlogs (line, &status);
   append_counters (line, core);
   mh_log_info (core->runtime,
                "controller status role=%s ready=%s epoch=%" G_GUINT64_FORMAT
--- a/src/controller/status.h
+++ b/src/controller/status.h
@@ -5,6 +5,7 @@
 #include "controller/core.h"
 
 #include "runtime/backlog.h"
+#include "runtime/pending-calls.h"
 
 /**
  * MhStatusQueue:
@@ -42,6 +43,7 @@
  * @lease_left_us: how long its leader lease is still valid, in microseconds; 0: not at all
  * @jobs: jobs in memory
  * @queues: what waits in each queue
+ * @in_flight: calls that have been sent and have no outcome yet, by pool of connections
  *
  * The state of a controller at its last input.
  */
@@ -53,6 +55,7 @@
   gint64 lease_left_us;
   guint jobs;
   MhBacklog queues[MH_STATUS_QUEUES];
+  MhBacklog in_flight[MH_CALL_POOLS];
 } MhStatus;
 
 /**
@@ -81,3 +84,12 @@
  */
 const char *
 mh_status_queue_name (MhStatusQueue queue);
+
+/**
+ * mh_status_call_pool_name:
+ * @pool: a pool of connections
+ *
+ * Returns: (transfer none): its name in log lines and metrics
+ */
+const char *
+mh_status_call_pool_name (MhCallPool pool);
--- a/src/runtime/call-queue.c
+++ b/src/runtime/call-queue.c
@@ -33,19 +33,12 @@
   double changes;
 } QueuedCall;
 
-typedef struct
-{
-  MhCallOptions options;
-  bool sent_to_worker; /* a call to a worker that is in flight */
-} PendingCall;
-
 struct MhCallQueue
 {
   MhRuntime *runtime;
-  GHashTable *pending; /* guint64 id -> PendingCall: queued or in flight */
+  MhPendingCalls *pending;
   GQueue store_queue[MH_CALL_CLASSES], cloud_queue[MH_CALL_CLASSES]; /* QueuedCall */
   GQueue worker_queue;                                               /* QueuedCall */
-  guint worker_calls_in_flight;
   MhTokenBucket store_bucket, write_bucket, cloud_bucket;
   gint64 store_paused_until_us, cloud_paused_until_us;
   bool write_rate_lowered;
@@ -59,15 +52,6 @@
   g_free (queued);
 }
 
-static void
-pending_call_free (gpointer data)
-{
-  PendingCall *pending = data;
-  if (pending->options.free_data)
-    pending->options.free_data (pending->options.data);
-  g_free (pending);
-}
-
 MhCallQueue *
 mh_call_queue_new (MhRuntime *runtime)
 {
@@ -76,7 +60,7 @@
   gint64 now_us = mh_runtime_now_us (runtime);
   MhCallQueue *queue = g_new0 (MhCallQueue, 1);
   queue->runtime = runtime;
-  queue->pending = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, pending_call_free);
+  queue->pending = mh_pending_calls_new ();
   mh_token_bucket_init (&queue->store_bucket, settings->store_rps * STORE_RATE_SHARE,
                         settings->store_rps * STORE_BURST_S, now_us);
   mh_token_bucket_init (&queue->write_bucket, settings->store_write_rps * WRITE_RATE_SHARE,
@@ -92,10 +76,26 @@
   if (queue == NULL)
     return;
   mh_call_queue_forget_all (queue);
-  g_hash_table_unref (queue->pending);
+  mh_pending_calls_free (queue->pending);
   g_free (queue);
 }
 
+static MhCallPool
+get_pool (MhTarget target, MhCallClass class)
+{
+  switch (target)
+    {
+    case MH_TARGET_KEY_VALUE_STORE:
+      return class == MH_CALL_LEASE        ? MH_CALL_POOL_LEASE
+             : class == MH_CALL_BACKGROUND ? MH_CALL_POOL_USER_READS
+                                           : MH_CALL_POOL_STORE;
+    case MH_TARGET_CLOUD:
+      return MH_CALL_POOL_CLOUD;
+    default:
+      return MH_CALL_POOL_WORKERS;
+    }
+}
+
 static GQueue *
 queue_for (MhCallQueue *queue, MhTarget target, MhCallClass class)
 {
@@ -127,9 +127,12 @@
 {
   g_return_if_fail (queue && request && options && options->func);
   guint64 id = mh_runtime_next_id (queue->runtime);
-  PendingCall *pending = g_new0 (PendingCall, 1);
-  pending->options = *options;
-  g_hash_table_insert (queue->pending, g_memdup2 (&id, sizeof id), pending);
+  const MhPendingCall pending = { .pool = get_pool (request->target, options->class),
+                                  .func = options->func,
+                                  .owner = options->owner,
+                                  .data = options->data,
+                                  .free_data = options->free_data };
+  mh_pending_calls_add (queue->pending, id, &pending);
   g_queue_push_tail (queue_for (queue, request->target, options->class),
                      queued_call_new (id, request, options, mh_runtime_now_us (queue->runtime)));
 }
@@ -138,14 +141,7 @@
 mh_call_queue_complete (MhCallQueue *queue, guint64 id, const MhCallResponse *response)
 {
   g_return_if_fail (queue && response);
-  gpointer key, value;
-  if (!g_hash_table_steal_extended (queue->pending, &id, &key, &value))
-    return;
-  PendingCall *pending = value;
-  queue->worker_calls_in_flight -= pending->sent_to_worker;
-  pending->options.func (pending->options.owner, pending->options.data, response);
-  g_free (key);
-  pending_call_free (pending);
+  mh_pending_calls_complete (queue->pending, id, response);
 }
 
 void
@@ -157,29 +153,27 @@
       g_queue_clear_full (&queue->cloud_queue[i], queued_call_free);
     }
   g_queue_clear_full (&queue->worker_queue, queued_call_free);
-  g_hash_table_remove_all (queue->pending);
-  queue->worker_calls_in_flight = 0;
-}
-
-guint
-mh_call_queue_count_waiting (const MhCallQueue *queue, MhCallClass class)
-{
-  return queue->store_queue[class].length;
+  mh_pending_calls_forget_all (queue->pending);
 }
 
 MhBacklog
 mh_call_queue_get_backlog (const MhCallQueue *queue, MhTarget target, MhCallClass class)
 {
   g_return_val_if_fail (queue && (guint) class < MH_CALL_CLASSES, (MhBacklog){ 0 });
-  const GQueue *waiting = target == MH_TARGET_KEY_VALUE_STORE ? &queue->store_queue[class]
-                          : target == MH_TARGET_CLOUD         ? &queue->cloud_queue[class]
-                                                              : &queue->worker_queue;
+  const GQueue *waiting = queue_for ((MhCallQueue *)queue, target, class);
   const QueuedCall *oldest = waiting->head ? waiting->head->data : NULL;
   return (MhBacklog){ .waiting = waiting->length,
                       .oldest_age_us
                       = oldest ? mh_runtime_now_us (queue->runtime) - oldest->queued_us : 0 };
 }
 
+MhBacklog
+mh_call_queue_get_in_flight (const MhCallQueue *queue, MhCallPool pool)
+{
+  g_return_val_if_fail (queue, (MhBacklog){ 0 });
+  return mh_pending_calls_get_in_flight (queue->pending, pool, mh_runtime_now_us (queue->runtime));
+}
+
 /* ---- sending ---- */
 
 /* Commands to workers and calls that change something in the cloud carry the end of the leader
@@ -188,6 +182,7 @@
 send_call (MhCallQueue *queue, QueuedCall *queued)
 {
   MhAction *action = mh_runtime_add_action (queue->runtime, MH_ACTION_SEND_REQUEST, queued->id);
+  mh_pending_calls_note_sent (queue->pending, queued->id, mh_runtime_now_us (queue->runtime));
   action->request = g_steal_pointer (&queued->request);
   action->timeout_us = queued->timeout_us;
   if (action->request->target != MH_TARGET_KEY_VALUE_STORE && action->request->body)
@@ -277,15 +272,10 @@
 {
   guint connections = mh_runtime_settings (queue->runtime)->max_connections;
   guint max_calls = MAX (MIN_WORKER_CALLS, connections / WORKER_CALLS_DIVISOR);
-  while (queue->worker_queue.length && queue->worker_calls_in_flight < max_calls
+  while (queue->worker_queue.length
+         && mh_pending_calls_count_in_flight (queue->pending, MH_CALL_POOL_WORKERS) < max_calls
          && mh_runtime_is_leader (queue->runtime))
-    {
-      QueuedCall *queued = g_queue_pop_head (&queue->worker_queue);
-      PendingCall *pending = g_hash_table_lookup (queue->pending, &queued->id);
-      pending->sent_to_worker = true;
-      queue->worker_calls_in_flight++;
-      send_call (queue, queued);
-    }
+    send_call (queue, g_queue_pop_head (&queue->worker_queue));
 }
 
 void
--- a/src/runtime/call-queue.h
+++ b/src/runtime/call-queue.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "runtime/backlog.h"
+#include "runtime/pending-calls.h"
 #include "runtime/runtime.h"
 
 /** MhCallQueue: the calls of this controller, and the token buckets that limit their rate */
@@ -33,30 +34,6 @@
 /** MH_CALL_CLASSES: number of classes */
 #define MH_CALL_CLASSES 4
 
-/**
- * MhCallResponse:
- * @status: HTTP status; 0: no response arrived, so that it is unknown whether the request was
- * carried out
- * @body: (nullable): body of the response; valid only while the MhCallResponseFunc runs
- *
- * The outcome of a call.
- */
-typedef struct
-{
-  guint status;
-  const MhValue *body;
-} MhCallResponse;
-
-/**
- * MhCallResponseFunc:
- * @owner: the module that made the call
- * @data: (nullable): data of the call
- * @response: the outcome
- *
- * Handles the outcome. It is not called for calls that were forgotten.
- */
-typedef void (*MhCallResponseFunc) (gpointer owner, gpointer data, const MhCallResponse *response);
-
 /**
  * MhCallOptions:
  * @class: class of the call
@@ -141,16 +118,6 @@
 void
 mh_call_queue_forget_all (MhCallQueue *queue);
 
-/**
- * mh_call_queue_count_waiting:
- * @queue: a queue
- * @class: a class of calls
- *
- * Returns: the number of calls of @class to the key-value store that have not been sent yet
- */
-guint
-mh_call_queue_count_waiting (const MhCallQueue *queue, MhCallClass class);
-
 /**
  * mh_call_queue_get_backlog:
  * @queue: a queue
@@ -162,6 +129,16 @@
 MhBacklog
 mh_call_queue_get_backlog (const MhCallQueue *queue, MhTarget target, MhCallClass class);
 
+/**
+ * mh_call_queue_get_in_flight:
+ * @queue: a queue
+ * @pool: a pool of connections
+ *
+ * Returns: the calls that have been sent and have no outcome yet, also those that were forgotten
+ */
+MhBacklog
+mh_call_queue_get_in_flight (const MhCallQueue *queue, MhCallPool pool);
+
 /* ---- limits of the key-value store ---- */
 
 /**
--- a/src/server/metrics-text.c
+++ b/src/server/metrics-text.c
@@ -71,6 +71,22 @@
                      SECONDS (status->queues[i].oldest_age_us));
 }
 
+static void
+append_calls (GString *text, const MhStatus *status)
+{
+  append_header (text, "minthill_calls_in_flight", "gauge",
+                 "Calls that have been sent and have no outcome yet.");
+  for (guint i = 0; i < MH_CALL_POOLS; i++)
+    append_labelled (text, "minthill_calls_in_flight", "pool",
+                     mh_status_call_pool_name ((MhCallPool)i), status->in_flight[i].waiting);
+  append_header (text, "minthill_call_oldest_age_seconds", "gauge",
+                 "How long the oldest call in flight has had no outcome.");
+  for (guint i = 0; i < MH_CALL_POOLS; i++)
+    append_labelled (text, "minthill_call_oldest_age_seconds", "pool",
+                     mh_status_call_pool_name ((MhCallPool)i),
+                     SECONDS (status->in_flight[i].oldest_age_us));
+}
+
 static void
 append_counters (GString *text, const guint64 *counts)
 {
@@ -94,7 +110,16 @@
   append_gauge (text, "minthill_connections", "Open connections of users and workers.",
                 metrics->connections);
   append_gauge (text, "minthill_pending_requests", "Requests without a response yet.",
-                metrics->pending_requests);
+                metrics->pending_requests.waiting);
+  append_gauge (text, "minthill_pending_request_oldest_age_seconds",
+                "How long the oldest request has had no response.",
+                SECONDS (metrics->pending_requests.oldest_age_us));
+  append_gauge (text, "minthill_main_loop_busy_ratio",
+                "Part of the time since the last status line that the main loop was not idle.",
+                metrics->loop.busy_share);
+  append_gauge (text, "minthill_main_loop_iteration_seconds",
+                "Longest iteration of the main loop since the last status line.",
+                SECONDS (metrics->loop.longest_iteration_us));
   append_header (text, "minthill_response_seconds", "summary",
                  "Time from the arrival of a request to its response.");
   for (guint i = 0; i < MH_RESPONSE_KINDS; i++)
@@ -115,6 +140,7 @@
   append_node_name (text, metrics->node);
   append_leadership (text, &metrics->status);
   append_queues (text, &metrics->status);
+  append_calls (text, &metrics->status);
   append_counters (text, metrics->counts);
   append_process (text, metrics);
   return g_string_free (text, FALSE);
--- a/src/server/metrics-text.h
+++ b/src/server/metrics-text.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "controller/status.h"
+#include "server/loop-monitor.h"
 #include "server/process-stats.h"
 
 /**
@@ -13,6 +14,7 @@
  * @process: measurements of the process
  * @connections: open connections of users and workers
  * @pending_requests: requests that have not been answered yet
+ * @loop: measurements of the main loop
  *
  * What the metrics are made of.
  */
@@ -23,7 +25,8 @@
   guint64 counts[MH_COUNTERS];
   MhProcessStats process;
   guint connections;
-  guint pending_requests;
+  MhBacklog pending_requests;
+  MhLoopStats loop;
 } MhMetrics;
 
 /**
--- a/src/server/pending-request.c
+++ b/src/server/pending-request.c
@@ -68,10 +68,18 @@
   return g_hash_table_lookup (table->requests, &id);
 }
 
-guint
-mh_pending_requests_count (const MhPendingRequests *table)
+MhBacklog
+mh_pending_requests_get_backlog (const MhPendingRequests *table)
 {
-  return g_hash_table_size (table->requests);
+  gint64 now_us = g_get_monotonic_time ();
+  gint64 oldest_us = now_us;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->requests);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    oldest_us = MIN (oldest_us, ((const MhPendingRequest *)value)->received_us);
+  return (MhBacklog){ .waiting = g_hash_table_size (table->requests),
+                      .oldest_age_us = now_us - oldest_us };
 }
 
 void
--- a/src/server/pending-request.h
+++ b/src/server/pending-request.h
@@ -1,6 +1,7 @@
 /* Requests that have not been answered yet. */
 #pragma once
 
+#include "runtime/backlog.h"
 #include "protocol/user-messages.h"
 #include "server/http-exchange.h"
 #include "server/peer-connection.h"
@@ -92,13 +93,13 @@
 mh_pending_requests_lookup (MhPendingRequests *table, guint64 id);
 
 /**
- * mh_pending_requests_count:
+ * mh_pending_requests_get_backlog:
  * @table: a table
  *
- * Returns: the number of pending requests
+ * Returns: the requests in @table, and how long ago the oldest of them was received
  */
-guint
-mh_pending_requests_count (const MhPendingRequests *table);
+MhBacklog
+mh_pending_requests_get_backlog (const MhPendingRequests *table);
 
 /**
  * mh_pending_requests_remove:
--- a/src/server/server.c
+++ b/src/server/server.c
@@ -4,6 +4,7 @@
 #include "server/http-client.h"
 #include "server/http-server.h"
 #include "server/log-output.h"
+#include "server/loop-monitor.h"
 #include "server/metrics-server.h"
 #include "server/metrics-text.h"
 #include "server/peer-network.h"
@@ -28,6 +29,7 @@
   MhRequestForwarder *forwarder;
   MhMetricsServer *metrics_server; /* NULL: not set up */
   MhProcessStats stats;
+  MhLoopMonitor *loop_monitor;
   guint status_timer;
   GSource *timer;   /* ready at the controller's next wake-up */
   bool dispatching; /* dispatch_actions() runs */
@@ -276,17 +278,22 @@
   Server *server = data;
   const MhProcessStats *stats = &server->stats;
   const MhResponseStats *responses = stats->responses;
-  g_info ("process status main_loop_lag_ms=%d unread_input_ms=%d user_response_ms=%d "
-          "forwarded_response_ms=%d "
-          "heartbeat_response_ms=%d connections=%u pending_requests=%u",
+  MhLoopStats loop = mh_loop_monitor_get_stats (server->loop_monitor);
+  MhBacklog pending = mh_pending_requests_get_backlog (server->requests);
+  g_info ("process status main_loop_busy_percent=%d main_loop_iteration_ms=%d main_loop_lag_ms=%d "
+          "unread_input_ms=%d user_response_ms=%d forwarded_response_ms=%d "
+          "heartbeat_response_ms=%d connections=%u pending_requests=%u "
+          "pending_requests_oldest_ms=%d",
+          (int)(100 * loop.busy_share), (int)(loop.longest_iteration_us / MH_MILLISECOND_US),
           (int)(stats->recent_max_lag_us / MH_MILLISECOND_US),
           (int)(stats->recent_max_unread_us / MH_MILLISECOND_US),
           (int)(responses[MH_RESPONSE_USER].recent_max_us / MH_MILLISECOND_US),
           (int)(responses[MH_RESPONSE_FORWARDED].recent_max_us / MH_MILLISECOND_US),
           (int)(responses[MH_RESPONSE_HEARTBEAT].recent_max_us / MH_MILLISECOND_US),
-          mh_http_server_count_connections (server->http_server),
-          mh_pending_requests_count (server->requests));
+          mh_http_server_count_connections (server->http_server), pending.waiting,
+          (int)(pending.oldest_age_us / MH_MILLISECOND_US));
   mh_process_stats_reset_recent (&server->stats);
+  mh_loop_monitor_reset (server->loop_monitor);
   return G_SOURCE_CONTINUE;
 }
 
@@ -297,7 +304,8 @@
   MhMetrics metrics = { .node = server->settings->node_name,
                         .process = server->stats,
                         .connections = mh_http_server_count_connections (server->http_server),
-                        .pending_requests = mh_pending_requests_count (server->requests) };
+                        .pending_requests = mh_pending_requests_get_backlog (server->requests),
+                        .loop = mh_loop_monitor_get_stats (server->loop_monitor) };
   mh_core_get_status (server->core, &metrics.status);
   for (guint i = 0; i < MH_COUNTERS; i++)
     metrics.counts[i] = mh_core_get_count (server->core, (MhCounter)i);
@@ -329,6 +337,7 @@
     g_source_destroy (server->timer);
   g_clear_pointer (&server->timer, g_source_unref);
   g_clear_handle_id (&server->status_timer, g_source_remove);
+  mh_loop_monitor_free (server->loop_monitor);
   mh_metrics_server_free (server->metrics_server);
   mh_http_server_free (server->http_server);
   mh_peer_network_free (server->peers);
@@ -386,6 +395,7 @@
   g_source_set_callback (server->timer, on_wake_up, server, NULL);
   g_source_set_ready_time (server->timer, 0);
   g_source_attach (server->timer, NULL);
+  server->loop_monitor = mh_loop_monitor_new ();
   server->status_timer = g_timeout_add_seconds (STATUS_INTERVAL_S, log_process_status, server);
 }
 
--- a/src/storage/lookup.c
+++ b/src/storage/lookup.c
@@ -272,9 +272,10 @@
 static bool
 is_backlog_full (const MhJobLookup *lookup)
 {
-  guint waiting = mh_call_queue_count_waiting (lookup->calls, MH_CALL_BACKGROUND);
+  MhBacklog backlog
+      = mh_call_queue_get_backlog (lookup->calls, MH_TARGET_KEY_VALUE_STORE, MH_CALL_BACKGROUND);
   double max_waiting = mh_call_queue_store_rate (lookup->calls) * MAX_BACKLOG_S;
-  return waiting >= MAX (MIN_BACKLOG, max_waiting);
+  return backlog.waiting >= MAX (MIN_BACKLOG, max_waiting);
 }
 
 void
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -312,7 +312,7 @@
   for (guint round = 0; round < LEAVING_CLIENTS / CLIENTS_AT_ONCE; round++)
     let_clients_come_and_leave (fixture, round);
   wait_for_connections (fixture, 0);
-  g_assert_cmpuint (mh_pending_requests_count (fixture->requests), ==, 0);
+  g_assert_cmpuint (mh_pending_requests_get_backlog (fixture->requests).waiting, ==, 0);
   g_assert_cmpuint (count_descriptors (), ==, descriptors);
 }
 
