Test: a slow key-value store and users' reads leave no connection for the election (known red)

A user's answer counts only if the user still waits for it, and users_check_answered is the rule of 75 s.

The limit of connections is a constant of the runtime now, since the state machine has to know it; its value is the same.

--- a/src/runtime/pending-calls.h
+++ b/src/runtime/pending-calls.h
@@ -25,6 +25,10 @@
   MH_CALL_POOL_CLOUD,
   MH_CALL_POOL_WORKERS
 } MhCallPool;
+/** MH_STORE_CONNECTIONS: limit of open connections to the key-value store */
+#define MH_STORE_CONNECTIONS 16u
+/** MH_CLOUD_CONNECTIONS: limit of open connections to the cloud */
+#define MH_CLOUD_CONNECTIONS 16u
 /** MH_CALL_POOLS: number of pools */
 #define MH_CALL_POOLS 5
 
--- a/src/server/http-client.c
+++ b/src/server/http-client.c
@@ -1,12 +1,11 @@
 #include "server/http-client.h"
 
 #include "base/time-units.h"
+#include "runtime/pending-calls.h"
 
 #include <libsoup/soup.h>
 
 #define CBOR_MEDIA_TYPE "application/cbor"
-/* Limit of open connections to the key-value store, and likewise to the cloud. */
-#define CONNECTIONS_PER_HOST 16u
 #define IDLE_TIMEOUT_S 30u
 /* Calls to workers after which their session is replaced. A session keeps a timer for five minutes
    for each host that it has called, and each iteration of the main loop checks all timers: with a
@@ -64,7 +63,7 @@
   client->endpoints = *endpoints;
   client->response_func = response_func;
   client->user_data = user_data;
-  client->session = session_new (2 * CONNECTIONS_PER_HOST, CONNECTIONS_PER_HOST, IDLE_TIMEOUT_S);
+  client->session = session_new (MH_STORE_CONNECTIONS + MH_CLOUD_CONNECTIONS, MH_STORE_CONNECTIONS, IDLE_TIMEOUT_S);
   return client;
 }
 
--- a/tests/stand-in/controller-node.c
+++ b/tests/stand-in/controller-node.c
@@ -235,6 +235,8 @@
   g_clear_pointer (&node->controller, controller_free);
   g_hash_table_remove_all (node->pending_requests);
   node->worker_calls_in_flight = 0;
+  node->store_calls_in_flight = 0;
+  g_queue_clear_full (&node->waiting_store_calls, outgoing_call_unref);
   node->incarnation++;
 }
 
--- a/tests/stand-in/controller-node.h
+++ b/tests/stand-in/controller-node.h
@@ -69,6 +69,12 @@
  * @preemption_site_us: how long it is paused for each machine that it examines for a preemption,
  *   because that takes processor time; 0: not
  * @preemption_sites: machines that it had examined at the last input
+ * @store_connections: that its HTTP client opens to the key-value store; further calls wait for
+ * one, in the order in which they were sent; 0: no limit
+ * @store_calls_in_flight: calls to the key-value store that have a connection, if there is a limit
+ * @waiting_store_calls: (element-type OutgoingCall): that wait for a connection
+ * @waiting_call_us: how long it is paused for each call that waits, whenever a call has ended,
+ *   because its HTTP client examines all of them; 0: not
  * @pause_before_acting_us: it is paused for that long after the next input, before it carries out
  *   the actions that the input caused; 0: not
  */
@@ -100,6 +106,9 @@
   gint64 input_unread_since_us;
   double preemption_site_us;
   guint64 preemption_sites;
+  guint store_connections, store_calls_in_flight;
+  GQueue waiting_store_calls;
+  double waiting_call_us;
 };
 
 /**
--- a/tests/stand-in/network.h
+++ b/tests/stand-in/network.h
@@ -12,6 +12,7 @@
  * @delay_probability: that a message is delayed by up to 30 s more
  * @duplicate_probability: that a request arrives a second time, up to 60 s later
  * @late_write_probability: that a transaction gets no response, but is applied 2 s to 11 s later
+ * @store_delay_us: by how much the key-value store is late with each response, in microseconds
  * @hold_commands: direct calls to workers are held until the test releases them
  * @held_commands: (element-type OutgoingCall): the held calls to workers
  * @held_writes: (element-type OutgoingCall): the held transactions of nodes with @hold_writes
@@ -25,6 +26,7 @@
   double delay_probability;
   double duplicate_probability;
   double late_write_probability;
+  gint64 store_delay_us;
   bool hold_commands;
   GPtrArray *held_commands;
   GPtrArray *held_writes;
--- a/tests/stand-in/outgoing-call.c
+++ b/tests/stand-in/outgoing-call.c
@@ -12,7 +12,8 @@
   guint node, incarnation; /* of the sender */
   guint64 id;
   MhRequest *request;
-  bool answered; /* also true for a copy, whose response is ignored */
+  bool answered;       /* also true for a copy, whose response is ignored */
+  bool has_connection; /* of the limited ones to the key-value store */
   guint status;
   MhValue *body;
 };
@@ -46,6 +47,43 @@
   return strcmp (call->request->path, "/multi") == 0;
 }
 
+/* ---- connections to the key-value store ---- */
+
+static void
+start_call (OutgoingCall *call);
+
+/* The call has ended: the one that has waited longest gets its connection. */
+static void
+release_connection (OutgoingCall *call)
+{
+  ControllerNode *node = sender_of (call);
+  if (node->store_connections == 0 || call->request->target != MH_TARGET_KEY_VALUE_STORE)
+    return;
+  node->store_calls_in_flight -= call->has_connection;
+  call->has_connection = false;
+  node->pause_before_acting_us
+      += (gint64)(node->waiting_call_us * node->waiting_store_calls.length);
+  while (node->waiting_store_calls.length && node->store_calls_in_flight < node->store_connections)
+    {
+      OutgoingCall *next = g_queue_pop_head (&node->waiting_store_calls);
+      if (!next->answered)
+        start_call (next);
+      outgoing_call_unref (next);
+    }
+}
+
+/* Returns whether the call has to wait for a connection. */
+static bool
+wait_for_connection (OutgoingCall *call)
+{
+  ControllerNode *node = sender_of (call);
+  if (node->store_connections == 0 || call->request->target != MH_TARGET_KEY_VALUE_STORE
+      || node->store_calls_in_flight < node->store_connections)
+    return false;
+  g_queue_push_tail (&node->waiting_store_calls, g_rc_box_acquire (call));
+  return true;
+}
+
 /* ---- responses ---- */
 
 static void
@@ -59,6 +97,7 @@
   if (node->controller == NULL || node->incarnation != call->incarnation)
     return;
   node->worker_calls_in_flight -= call->request->target == MH_TARGET_WORKER;
+  release_connection (call);
   MhNow now = controller_node_now (node);
   controller_call_finished (node->controller, &now, call->id, call->status, call->body);
   controller_node_drain (node);
@@ -90,9 +129,11 @@
     return;
   if (is_transaction (call) && now_us < node->write_responses_lost_until_us)
     return;
-  fake_clock_add_pausable (simulation->clock, &node->paused_until_us,
-                           now_us + network_draw_delay (simulation->network), on_response_arrival,
-                           g_rc_box_acquire (call), outgoing_call_unref);
+  gint64 delay_us = network_draw_delay (simulation->network);
+  if (call->request->target == MH_TARGET_KEY_VALUE_STORE)
+    delay_us += simulation->network->store_delay_us;
+  fake_clock_add_pausable (simulation->clock, &node->paused_until_us, now_us + delay_us,
+                           on_response_arrival, g_rc_box_acquire (call), outgoing_call_unref);
 }
 
 void
@@ -225,6 +266,18 @@
     deliver_to_worker (call);
 }
 
+static void
+start_call (OutgoingCall *call)
+{
+  Simulation *simulation = call->simulation;
+  ControllerNode *node = sender_of (call);
+  call->has_connection
+      = node->store_connections > 0 && call->request->target == MH_TARGET_KEY_VALUE_STORE;
+  node->store_calls_in_flight += call->has_connection;
+  if (!network_draw_loss (simulation->network))
+    schedule_arrival (g_rc_box_acquire (call), network_draw_delay (simulation->network));
+}
+
 void
 outgoing_call_send (ControllerNode *node, MhRequest *request, const MhAction *action)
 {
@@ -240,8 +293,8 @@
   node->peak_worker_calls = MAX (node->peak_worker_calls, node->worker_calls_in_flight);
   fake_clock_add_pausable (clock, &node->paused_until_us, clock->now_us + action->timeout_us,
                            on_timeout, g_rc_box_acquire (call), outgoing_call_unref);
-  if (!network_draw_loss (simulation->network))
-    schedule_arrival (g_rc_box_acquire (call), network_draw_delay (simulation->network));
+  if (!wait_for_connection (call))
+    start_call (call);
   outgoing_call_unref (call);
 }
 
--- a/tests/stand-in/user.c
+++ b/tests/stand-in/user.c
@@ -7,6 +7,10 @@
 #define SETTLED_REPEAT_PROBABILITY 0.5
 #define MAX_RESPONSE_WAIT_STEPS 50
 #define RESPONSE_WAIT_STEP_S 0.1
+/* How long users wait for a response. */
+#define SUBMISSION_PATIENCE_US (5 * MH_SECOND_US)
+#define QUESTION_PATIENCE_US (2 * MH_SECOND_US)
+#define MAX_UNANSWERED_US (75 * MH_SECOND_US)
 
 MhJobSpec *
 job_spec_new (guint number, MhShape shape, guint tasks, double cpus)
@@ -89,6 +93,14 @@
   return response->status == 404 || response->status == 400 || response->status == 422;
 }
 
+static bool
+has_user_waited (const PendingRequest *request, gint64 now_us)
+{
+  gint64 patience_us
+      = request->verb == MH_USER_STATUS ? QUESTION_PATIENCE_US : SUBMISSION_PATIENCE_US;
+  return now_us - request->sent_us <= patience_us;
+}
+
 static void
 on_user_response (ControllerNode *node, const PendingRequest *request, const MhAction *action)
 {
@@ -101,7 +113,8 @@
     report_violation (user, "forgotten", response);
   if (response->status != 200 && response->status != 201)
     return;
-  user->last_response_us = now_us;
+  if (has_user_waited (request, now_us))
+    user->last_response_us = now_us;
   if (user->infeasible)
     report_violation (user, "accepted although it is infeasible", response);
   if (request->verb == MH_USER_SUBMIT)
@@ -210,6 +223,22 @@
     }
 }
 
+void
+users_check_answered (Simulation *simulation, gint64 calm_since_us)
+{
+  gint64 now_us = simulation->clock->now_us;
+  for (guint i = 0; i < simulation->users->len; i++)
+    {
+      User *user = g_ptr_array_index (simulation->users, i);
+      gint64 since_us = MAX (user->last_response_us, calm_since_us);
+      if (!user->job->accepted || now_us - since_us <= MAX_UNANSWERED_US)
+        continue;
+      rule_checks_add_violation (simulation->rules, "forgotten: %s has no answer since %.3f",
+                                 user->job->spec->id, (double)since_us / MH_SECOND_US);
+      user->last_response_us = now_us; /* reported once in each such time */
+    }
+}
+
 /* ---- single requests of a test ---- */
 
 static void
--- a/tests/stand-in/user.h
+++ b/tests/stand-in/user.h
@@ -17,7 +17,7 @@
  *   cancel
  * @last_status: HTTP status of the last response
  * @final_response_us: when a response last reported the job as done or cancelled
- * @last_response_us: when a request was last answered with success
+ * @last_response_us: when a request was last answered with success, before the user gave it up
  */
 typedef struct
 {
@@ -74,3 +74,12 @@
  * last task has just ended, before a controller can have reported that. */
 void
 users_cancel_at_job_end (Simulation *simulation);
+/**
+ * users_check_answered:
+ * @calm_since_us: when the last fault ended
+ *
+ * Checks the rule "forgotten": no accepted job is without an answer for 75 s once all faults are
+ * over. To be called at least once a second.
+ */
+void
+users_check_answered (Simulation *simulation, gint64 calm_since_us);
