Send a call to the store only when it has a connection, and no read that its user has given up

Cause: calls left the queue as fast as the tokens allowed, 600 a second, whatever the HTTP client could carry. It has 16 connections and keeps the rest in one list, first come first served: renewals and elections waited behind users' reads until they timed out, so did the reads, and the reads that did go out were for users who had left. Each call that ends makes the client examine its whole list, so the processor went there too. A bounded share of connections and no bound on what waits for them: class, unbounded work behind a bounded resource, with priorities that end one layer too early.

Change: a call leaves the queue only if its pool has a connection: 4 for the election, 16 for records, 12 for users' reads, 16 to the cloud. What waits, waits where priority and tokens are decided. Reads for users carry a deadline (0.7 s, so that a request that waits for an earlier read is answered before the controller that forwarded it gives up at 1.5 s) and end unsent after it; the newest is sent first. Calls that were forgotten at the end of a leadership keep their connection until their outcome. Revoking a lease after a failed campaign is a call of the election now: among users' reads, newest first, it could wait for ever.

The stand-in reports each call that waits for a connection as a broken rule, in all scenarios; the four cases of test-runtime each guard one part.

--- a/src/election/campaign.c
+++ b/src/election/campaign.c
@@ -35,7 +35,7 @@
 {
   mh_election_apply_event (election, MH_LEADERSHIP_EVENT_CAMPAIGN_FAILED);
   if (election->lease.id)
-    mh_election_revoke_lease (election, MH_CALL_BACKGROUND);
+    mh_election_revoke_lease (election);
   election->lease = (MhLease){ 0 };
   election->own_epoch = 0;
   mh_election_schedule_leader_read (election, read_delay_us);
--- a/src/election/election-state.c
+++ b/src/election/election-state.c
@@ -23,10 +23,10 @@
 }
 
 void
-mh_election_revoke_lease (MhElection *election, MhCallClass class)
+mh_election_revoke_lease (MhElection *election)
 {
   mh_election_call_store (election, mh_kv_request_revoke_lease (election->lease.id),
-                          (MhCallOptions){ .class = class,
+                          (MhCallOptions){ .class = MH_CALL_LEASE,
                                            .timeout_us = MH_ELECTION_CALL_TIMEOUT_US,
                                            .func = ignore_response });
 }
--- a/src/election/election-state.h
+++ b/src/election/election-state.h
@@ -99,12 +99,11 @@
 /**
  * mh_election_revoke_lease:
  * @election: an election
- * @class: priority of the request
  *
  * Revokes the lease in the key-value store. The response is ignored.
  */
 void
-mh_election_revoke_lease (MhElection *election, MhCallClass class);
+mh_election_revoke_lease (MhElection *election);
 
 /**
  * mh_election_schedule_leader_read:
--- a/src/election/election.c
+++ b/src/election/election.c
@@ -161,7 +161,7 @@
   if (election->transferring_leadership)
     {
       /* Otherwise the other controllers could not be elected before the lease expires. */
-      mh_election_revoke_lease (election, MH_CALL_LEASE);
+      mh_election_revoke_lease (election);
       election->campaign_backoff_until_us
           = mh_runtime_now_us (election->runtime) + CAMPAIGN_BACKOFF_AFTER_TRANSFER_US;
     }
--- a/src/runtime/call-queue.c
+++ b/src/runtime/call-queue.c
@@ -19,6 +19,8 @@
 /* Time until calls that wait for tokens are tried again. */
 #define STORE_TOKEN_RETRY_US 20000
 #define CLOUD_TOKEN_RETRY_US 100000
+/* Shortest time between two searches for calls whose deadline has passed. */
+#define EXPIRY_INTERVAL_US 20000
 /* Bound on the calls to workers that are in flight: one part in WORKER_CALLS_DIVISOR of all
    connections, but at least MIN_WORKER_CALLS. */
 #define WORKER_CALLS_DIVISOR 12u
@@ -30,6 +32,7 @@
   MhRequest *request;
   gint64 queued_us;
   gint64 timeout_us;
+  gint64 deadline_us; /* 0: none */
   double changes;
 } QueuedCall;
 
@@ -42,6 +45,7 @@
   MhTokenBucket store_bucket, write_bucket, cloud_bucket;
   gint64 store_paused_until_us, cloud_paused_until_us;
   bool write_rate_lowered;
+  gint64 next_expiry_us; /* when to look for calls whose deadline has passed */
 };
 
 static void
@@ -60,6 +64,7 @@
   gint64 now_us = mh_runtime_now_us (runtime);
   MhCallQueue *queue = g_new0 (MhCallQueue, 1);
   queue->runtime = runtime;
+  queue->next_expiry_us = G_MAXINT64;
   queue->pending = mh_pending_calls_new ();
   mh_token_bucket_init (&queue->store_bucket, settings->store_rps * STORE_RATE_SHARE,
                         settings->store_rps * STORE_BURST_S, now_us);
@@ -118,6 +123,7 @@
   queued->request = request;
   queued->queued_us = now_us;
   queued->timeout_us = options->timeout_us;
+  queued->deadline_us = options->deadline_us;
   queued->changes = options->changes;
   return queued;
 }
@@ -133,8 +139,14 @@
                                   .data = options->data,
                                   .free_data = options->free_data };
   mh_pending_calls_add (queue->pending, id, &pending);
-  g_queue_push_tail (queue_for (queue, request->target, options->class),
-                     queued_call_new (id, request, options, mh_runtime_now_us (queue->runtime)));
+  GQueue *waiting = queue_for (queue, request->target, options->class);
+  QueuedCall *queued = queued_call_new (id, request, options, mh_runtime_now_us (queue->runtime));
+  if (options->class == MH_CALL_BACKGROUND)
+    g_queue_push_head (waiting, queued);
+  else
+    g_queue_push_tail (waiting, queued);
+  if (options->deadline_us)
+    queue->next_expiry_us = MIN (queue->next_expiry_us, options->deadline_us);
 }
 
 void
@@ -160,8 +172,9 @@
 mh_call_queue_get_backlog (const MhCallQueue *queue, MhTarget target, MhCallClass class)
 {
   g_return_val_if_fail (queue && (guint) class < MH_CALL_CLASSES, (MhBacklog){ 0 });
-  const GQueue *waiting = queue_for ((MhCallQueue *)queue, target, class);
-  const QueuedCall *oldest = waiting->head ? waiting->head->data : NULL;
+  GQueue *waiting = queue_for ((MhCallQueue *)queue, target, class);
+  const QueuedCall *oldest
+      = class == MH_CALL_BACKGROUND ? g_queue_peek_tail (waiting) : g_queue_peek_head (waiting);
   return (MhBacklog){ .waiting = waiting->length,
                       .oldest_age_us
                       = oldest ? mh_runtime_now_us (queue->runtime) - oldest->queued_us : 0 };
@@ -182,9 +195,12 @@
 send_call (MhCallQueue *queue, QueuedCall *queued)
 {
   MhAction *action = mh_runtime_add_action (queue->runtime, MH_ACTION_SEND_REQUEST, queued->id);
-  mh_pending_calls_note_sent (queue->pending, queued->id, mh_runtime_now_us (queue->runtime));
+  gint64 now_us = mh_runtime_now_us (queue->runtime);
+  mh_pending_calls_note_sent (queue->pending, queued->id, now_us);
   action->request = g_steal_pointer (&queued->request);
   action->timeout_us = queued->timeout_us;
+  if (queued->deadline_us)
+    action->timeout_us = MIN (action->timeout_us, queued->deadline_us - now_us);
   if (action->request->target != MH_TARGET_KEY_VALUE_STORE && action->request->body)
     action->lease_until_us = mh_runtime_lease_until_us (queue->runtime);
   queued_call_free (queued);
@@ -198,6 +214,19 @@
          && mh_token_bucket_has (&queue->store_bucket, 1, now_us);
 }
 
+static bool
+has_connection (const MhCallQueue *queue, MhCallPool pool)
+{
+  static const guint limits[MH_CALL_POOLS] = {
+    [MH_CALL_POOL_LEASE] = G_MAXUINT,
+    [MH_CALL_POOL_STORE] = MH_STORE_CALL_CONNECTIONS,
+    [MH_CALL_POOL_USER_READS] = MH_USER_READ_CONNECTIONS,
+    [MH_CALL_POOL_CLOUD] = MH_CLOUD_CONNECTIONS,
+    [MH_CALL_POOL_WORKERS] = G_MAXUINT,
+  };
+  return mh_pending_calls_count_in_flight (queue->pending, pool) < limits[pool];
+}
+
 /* Sends the calls of a class in their order. A write that waits for tokens blocks later writes, but
    no reads: otherwise users' requests about ended jobs would not be answered as long as there is
    much to write. Returns false if no further call may be sent to the store now. */
@@ -205,7 +234,9 @@
 flush_store_class (MhCallQueue *queue, MhCallClass class, bool *writes_blocked)
 {
   gint64 now_us = mh_runtime_now_us (queue->runtime);
-  for (GList *link = queue->store_queue[class].head, *next; link; link = next)
+  MhCallPool pool = get_pool (MH_TARGET_KEY_VALUE_STORE, class);
+  for (GList *link = queue->store_queue[class].head, *next; link && has_connection (queue, pool);
+       link = next)
     {
       QueuedCall *queued = link->data;
       next = link->next;
@@ -249,7 +280,7 @@
   if (!mh_runtime_is_leader (queue->runtime))
     return;
   for (guint class = 0; class < MH_CALL_CLASSES; class ++)
-    while (queue->cloud_queue[class].length)
+    while (queue->cloud_queue[class].length && has_connection (queue, MH_CALL_POOL_CLOUD))
       {
         if (now_us < queue->cloud_paused_until_us
             || !mh_token_bucket_has (&queue->cloud_bucket, 1, now_us))
@@ -278,13 +309,58 @@
     send_call (queue, g_queue_pop_head (&queue->worker_queue));
 }
 
+/* Removes the calls of a class whose deadline has passed, and adds their numbers to `expired`. */
+static void
+collect_expired (MhCallQueue *queue, MhCallClass class, GArray *expired)
+{
+  gint64 now_us = mh_runtime_now_us (queue->runtime);
+  for (GList *link = queue->store_queue[class].head, *next; link; link = next)
+    {
+      QueuedCall *queued = link->data;
+      next = link->next;
+      if (queued->deadline_us == 0)
+        continue;
+      if (queued->deadline_us > now_us)
+        {
+          queue->next_expiry_us = MIN (queue->next_expiry_us, queued->deadline_us);
+          continue;
+        }
+      g_array_append_val (expired, queued->id);
+      g_queue_delete_link (&queue->store_queue[class], link);
+      queued_call_free (queued);
+    }
+}
+
+/* The modules that made the calls may add others meanwhile. */
+static void
+end_expired (MhCallQueue *queue)
+{
+  gint64 now_us = mh_runtime_now_us (queue->runtime);
+  if (now_us < queue->next_expiry_us)
+    return;
+  queue->next_expiry_us = G_MAXINT64;
+  g_autoptr (GArray) expired = g_array_new (FALSE, FALSE, sizeof (guint64));
+  for (guint class = 0; class < MH_CALL_CLASSES; class ++)
+    collect_expired (queue, (MhCallClass) class, expired);
+  const MhCallResponse response = { .status = 0 };
+  for (guint i = 0; i < expired->len; i++)
+    {
+      mh_runtime_count (queue->runtime, MH_COUNTER_CALL_EXPIRED);
+      mh_call_queue_complete (queue, g_array_index (expired, guint64, i), &response);
+    }
+  queue->next_expiry_us = MAX (queue->next_expiry_us, now_us + EXPIRY_INTERVAL_US);
+}
+
 void
 mh_call_queue_flush (MhCallQueue *queue)
 {
   g_return_if_fail (queue);
+  end_expired (queue);
   flush_store (queue);
   flush_cloud (queue);
   flush_workers (queue);
+  if (queue->next_expiry_us != G_MAXINT64)
+    mh_runtime_wake_at (queue->runtime, queue->next_expiry_us);
 }
 
 /* ---- limits of the key-value store ---- */
--- a/src/runtime/call-queue.h
+++ b/src/runtime/call-queue.h
@@ -4,7 +4,11 @@
    A call is a request and its response, which arrives as a later input. At the end of a leadership
    its calls are forgotten, and their responses are ignored. Calls to the cloud and to workers are
    sent only while this controller may act as leader. Those that change something carry the end of
-   its leader lease. */
+   its leader lease.
+
+   A call waits here, and not in the HTTP client, until its pool has a connection for it: so the
+   calls that keep the leadership wait for no others, and a call whose deadline passes is not sent.
+   */
 #pragma once
 
 #include "runtime/backlog.h"
@@ -22,7 +26,9 @@
  * @MH_CALL_WORK: starts, results, scale-out
  * @MH_CALL_BACKGROUND: reads for users' requests about jobs that are not in memory
  *
- * Classes of calls. Calls of an earlier class get tokens first.
+ * Classes of calls. Calls of an earlier class get tokens first. Within %MH_CALL_BACKGROUND the
+ * newest call is sent first: if more are made than can be sent, those that have waited long are for
+ * users who have given up.
  */
 typedef enum
 {
@@ -40,6 +46,8 @@
  * @changes: number of keys that it changes in the key-value store; each takes a token of the write
  * bucket
  * @timeout_us: how long to wait for a response after the request was sent, in microseconds
+ * @deadline_us: monotonic time after which nobody waits for the response: the call then ends with
+ * status 0, and is not sent if it has not been; 0: none
  * @func: handles the outcome
  * @owner: passed to @func
  * @data: (nullable): passed to @func
@@ -52,6 +60,7 @@
   MhCallClass class;
   double changes;
   gint64 timeout_us;
+  gint64 deadline_us;
   MhCallResponseFunc func;
   gpointer owner;
   gpointer data;
@@ -84,7 +93,8 @@
  * @request: (transfer full): the request, which names the target
  * @options: options of the call
  *
- * Queues a call. mh_call_queue_flush () sends it once its buckets have the tokens.
+ * Queues a call. mh_call_queue_flush () sends it once its buckets have the tokens and its pool has
+ * a connection.
  */
 void
 mh_call_queue_add (MhCallQueue *queue, MhRequest *request, const MhCallOptions *options);
@@ -93,7 +103,8 @@
  * mh_call_queue_flush:
  * @queue: a queue
  *
- * Sends the calls that the token buckets allow, and requests a wake-up if calls wait for tokens.
+ * Ends the calls whose deadline has passed, sends those that the token buckets and the connections
+ * allow, and requests a wake-up if calls wait for tokens or have a deadline.
  */
 void
 mh_call_queue_flush (MhCallQueue *queue);
--- a/src/runtime/counter.c
+++ b/src/runtime/counter.c
@@ -18,6 +18,7 @@
     [MH_COUNTER_LEASE_LAPSES] = "lease_lapses",
     [MH_COUNTER_ELECTIONS] = "elections",
     [MH_COUNTER_PREEMPTION_SITES] = "preemption_sites",
+    [MH_COUNTER_CALL_EXPIRED] = "calls_expired",
   };
   g_return_val_if_fail ((guint)counter < MH_COUNTERS, "unknown");
   return names[counter];
--- a/src/runtime/counter.h
+++ b/src/runtime/counter.h
@@ -21,6 +21,7 @@
  * @MH_COUNTER_ELECTIONS: how often this controller was elected
  * @MH_COUNTER_PREEMPTION_SITES: machines whose tasks were examined for a preemption of arrays and
  * services; each takes time in which nothing else is done
+ * @MH_COUNTER_CALL_EXPIRED: calls that were not sent because nobody waited for them any more
  *
  * What is counted, since the process started.
  */
@@ -39,10 +40,11 @@
   MH_COUNTER_RESPONSE_AFTER_LEASE,
   MH_COUNTER_LEASE_LAPSES,
   MH_COUNTER_ELECTIONS,
-  MH_COUNTER_PREEMPTION_SITES
+  MH_COUNTER_PREEMPTION_SITES,
+  MH_COUNTER_CALL_EXPIRED
 } MhCounter;
 /** MH_COUNTERS: number of counters */
-#define MH_COUNTERS 14
+#define MH_COUNTERS 15
 /** MH_FIRST_UNAVAILABLE_COUNTER: the first counter of users' requests that were answered 503 */
 #define MH_FIRST_UNAVAILABLE_COUNTER MH_COUNTER_NO_LEADER
 /** MH_LAST_UNAVAILABLE_COUNTER: the last counter of users' requests that were answered 503 */
--- a/src/runtime/pending-calls.h
+++ b/src/runtime/pending-calls.h
@@ -25,8 +25,16 @@
   MH_CALL_POOL_CLOUD,
   MH_CALL_POOL_WORKERS
 } MhCallPool;
+/** MH_LEASE_CONNECTIONS: connections to the key-value store for %MH_CALL_POOL_LEASE: a watch, a
+ * renewal, and the calls of an election */
+#define MH_LEASE_CONNECTIONS 4u
+/** MH_STORE_CALL_CONNECTIONS: likewise for %MH_CALL_POOL_STORE */
+#define MH_STORE_CALL_CONNECTIONS 16u
+/** MH_USER_READ_CONNECTIONS: likewise for %MH_CALL_POOL_USER_READS */
+#define MH_USER_READ_CONNECTIONS 12u
 /** MH_STORE_CONNECTIONS: limit of open connections to the key-value store */
-#define MH_STORE_CONNECTIONS 16u
+#define MH_STORE_CONNECTIONS                                                                       \
+  (MH_LEASE_CONNECTIONS + MH_STORE_CALL_CONNECTIONS + MH_USER_READ_CONNECTIONS)
 /** MH_CLOUD_CONNECTIONS: limit of open connections to the cloud */
 #define MH_CLOUD_CONNECTIONS 16u
 /** MH_CALL_POOLS: number of pools */
--- a/src/server/http-client.c
+++ b/src/server/http-client.c
@@ -63,7 +63,8 @@
   client->endpoints = *endpoints;
   client->response_func = response_func;
   client->user_data = user_data;
-  client->session = session_new (MH_STORE_CONNECTIONS + MH_CLOUD_CONNECTIONS, MH_STORE_CONNECTIONS, IDLE_TIMEOUT_S);
+  client->session = session_new (MH_STORE_CONNECTIONS + MH_CLOUD_CONNECTIONS, MH_STORE_CONNECTIONS,
+                                 IDLE_TIMEOUT_S);
   return client;
 }
 
--- a/src/storage/lookup.c
+++ b/src/storage/lookup.c
@@ -4,7 +4,9 @@
 #include "storage/record.h"
 #include "protocol/key-value-messages.h"
 
-#define CALL_TIMEOUT_US MH_SECOND_US
+/* Time for all reads that answer a request. A request may wait for the reads of an earlier one
+   first, and a controller that has forwarded it waits for 1.5 s. */
+#define READS_TIMEOUT_US (700 * MH_MILLISECOND_US)
 /* Limits the queued reads for status queries to as many as this controller may send to the
    key-value store in this time. A user waits at most two seconds for a response. */
 #define MAX_BACKLOG_S 1.0
@@ -40,6 +42,7 @@
   MhUserVerb verb;
   MhLookupScope scope;
   Stage stage;
+  gint64 deadline_us;   /* of the current reads */
   MhUserResponse found; /* the response, if the reads that follow confirm it */
   GArray *request_ids;  /* guint64: answered by the current reads */
   /* guint64: requests that came after the current reads began, to be answered by the next reads.
@@ -168,7 +171,8 @@
   read->stage = stage;
   g_autofree char *key = get_stage_key (stage, read->job);
   const MhCallOptions options = { .class = get_call_class (read->verb),
-                                  .timeout_us = CALL_TIMEOUT_US,
+                                  .timeout_us = READS_TIMEOUT_US,
+                                  .deadline_us = read->deadline_us,
                                   .func = on_entry,
                                   .owner = read->lookup,
                                   .data = g_rc_box_acquire (read),
@@ -179,6 +183,7 @@
 static void
 start_reads (JobRead *read)
 {
+  read->deadline_us = mh_runtime_now_us (read->lookup->runtime) + READS_TIMEOUT_US;
   read_stage (read, read->scope == MH_LOOKUP_LEADER ? READ_FINAL : READ_RUNNING);
 }
 
--- a/tests/stand-in/controller-node.c
+++ b/tests/stand-in/controller-node.c
@@ -2,6 +2,7 @@
 
 #include "stand-in/simulation.h"
 
+#include "runtime/pending-calls.h"
 #include "stand-in/decision-log.h"
 #include "stand-in/outgoing-call.h"
 #include "stand-in/peer-message.h"
@@ -249,6 +250,7 @@
   node->next_wake_us = G_MAXINT64;
   node->paused_until_us = node->pause_before_acting_us = 0;
   node->preemption_sites = 0;
+  node->store_connections = node->version == CONTROLLER_CURRENT ? MH_STORE_CONNECTIONS : 0;
   node->controller = controller_new (node->version, node->settings, &now);
   controller_tick (node->controller, &now);
   controller_node_drain (node);
--- a/tests/stand-in/outgoing-call.c
+++ b/tests/stand-in/outgoing-call.c
@@ -80,6 +80,9 @@
   if (node->store_connections == 0 || call->request->target != MH_TARGET_KEY_VALUE_STORE
       || node->store_calls_in_flight < node->store_connections)
     return false;
+  /* A rule of this project: what waits in the HTTP client cannot be overtaken. */
+  rule_checks_add_violation (node->simulation->rules, "%s: a call waits for a connection: %s",
+                             node->name, call->request->path);
   g_queue_push_tail (&node->waiting_store_calls, g_rc_box_acquire (call));
   return true;
 }
--- a/tests/test-runtime.c
+++ b/tests/test-runtime.c
@@ -274,6 +274,90 @@
   g_assert_cmpuint (flush (fixture, NULL), ==, 0);
 }
 
+static void
+add_reads (Fixture *fixture, guint count, gint64 deadline_us)
+{
+  for (guint i = 0; i < count; i++)
+    mh_call_queue_add (fixture->calls, mh_kv_request_get ("f/j-000001"),
+                       &(MhCallOptions){ .class = MH_CALL_BACKGROUND,
+                                         .timeout_us = MH_SECOND_US,
+                                         .deadline_us = deadline_us,
+                                         .func = on_response,
+                                         .owner = fixture,
+                                         .data = fixture,
+                                         .free_data = on_free });
+}
+
+/* Guards against users' reads that hold every connection to the store: the renewal of the lease and
+   writes would wait for them in the HTTP client. */
+static void
+test_reads_leave_connections (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  guint64 last = 0;
+  add_reads (fixture, (guint)STORE_RPS, 0);
+  g_assert_cmpuint (flush (fixture, &last), ==, MH_USER_READ_CONNECTIONS);
+  add_call (fixture, mh_kv_request_renew_lease (7), MH_CALL_LEASE, 0);
+  add_call (fixture, mh_kv_request_get ("j/1"), MH_CALL_WORK, 0);
+  g_assert_cmpuint (flush (fixture, NULL), ==, 2);
+  mh_call_queue_complete (fixture->calls, last, &(MhCallResponse){ .status = 200 });
+  g_assert_cmpuint (flush (fixture, NULL), ==, 1);
+}
+
+/* Guards against calls of an ended leadership that the next one does not count, though they still
+   hold their connections. */
+static void
+test_forgotten_calls_hold_connections (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  guint64 last = 0;
+  add_reads (fixture, (guint)STORE_RPS, 0);
+  flush (fixture, &last);
+  mh_call_queue_forget_all (fixture->calls);
+  add_reads (fixture, 1, 0);
+  g_assert_cmpuint (flush (fixture, NULL), ==, 0);
+  mh_call_queue_complete (fixture->calls, last, &(MhCallResponse){ .status = 200 });
+  g_assert_cmpuint (flush (fixture, NULL), ==, 1);
+  g_assert_cmpuint (fixture->responses, ==, 0);
+}
+
+/* Guards against reads for users who have given up: they would take the store's capacity from those
+   who still wait. */
+static void
+test_expired_reads_are_not_sent (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  guint64 last = 0;
+  gint64 deadline_us = START_US + MH_SECOND_US / 2;
+  add_reads (fixture, MH_USER_READ_CONNECTIONS + 3, deadline_us);
+  g_assert_cmpuint (flush (fixture, &last), ==, MH_USER_READ_CONNECTIONS);
+  g_assert_cmpint (mh_runtime_next_wake_up_us (fixture->runtime), <=, deadline_us);
+  set_time (fixture, deadline_us);
+  mh_call_queue_complete (fixture->calls, last, &(MhCallResponse){ .status = 200 });
+  g_assert_cmpuint (flush (fixture, NULL), ==, 0);
+  g_assert_cmpuint (fixture->responses, ==, 4);
+  g_assert_cmpuint (fixture->last_status, ==, 0);
+  g_assert_cmpuint (mh_runtime_get_count (fixture->runtime, MH_COUNTER_CALL_EXPIRED), ==, 3);
+}
+
+/* Guards against reads that are sent in the order of their arrival under overload, so that each is
+   sent just before its user gives up. */
+static void
+test_newest_read_is_sent_first (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  guint64 last = 0;
+  add_reads (fixture, MH_USER_READ_CONNECTIONS, 0);
+  flush (fixture, &last);
+  add_reads (fixture, 1, START_US + MH_SECOND_US);
+  add_reads (fixture, 1, START_US + 2 * MH_SECOND_US);
+  mh_call_queue_complete (fixture->calls, last, &(MhCallResponse){ .status = 200 });
+  g_assert_cmpuint (flush (fixture, NULL), ==, 1);
+  set_time (fixture, START_US + MH_SECOND_US);
+  flush (fixture, NULL);
+  g_assert_cmpuint (mh_runtime_get_count (fixture->runtime, MH_COUNTER_CALL_EXPIRED), ==, 1);
+}
+
 /* If a 429 did not lower the write rate, the store would refuse each leader's writes again, at a
    rate that it no longer allows. */
 static void
@@ -311,6 +395,10 @@
   ADD ("/call-queue/cloud-and-workers-need-a-lease", test_cloud_and_workers_need_a_lease);
   ADD ("/call-queue/calls-to-workers-are-bounded", test_calls_to_workers_are_bounded);
   ADD ("/call-queue/forgotten-calls-take-no-response", test_forgotten_calls_take_no_response);
+  ADD ("/call-queue/user-reads-hold-all-connections", test_reads_leave_connections);
+  ADD ("/call-queue/forgotten-calls-hold-connections", test_forgotten_calls_hold_connections);
+  ADD ("/call-queue/expired-reads-are-sent", test_expired_reads_are_not_sent);
+  ADD ("/call-queue/oldest-read-is-sent-first", test_newest_read_is_sent_first);
   ADD ("/call-queue/throttling-lowers-write-rate", test_throttling_lowers_write_rate);
   return g_test_run ();
 }
--- a/tests/test-slow-store.c
+++ b/tests/test-slow-store.c
@@ -1,6 +1,5 @@
 /* A key-value store that answers late, while users ask about many jobs that are in no controller's
    memory: their reads must not hold up the calls that keep the leadership. */
-#include "runtime/pending-calls.h"
 #include "steps.h"
 
 #define JOBS 600u
@@ -29,7 +28,6 @@
     {
       ControllerNode *node = &simulation->nodes[i];
       set_limits (node->settings);
-      node->store_connections = MH_STORE_CONNECTIONS;
       node->waiting_call_us = WAITING_CALL_US / CORE_SHARE;
       simulation_restart_node (simulation, i, CONTROLLER_CURRENT, 0.1);
     }
