--- a/tests/stand-in/user.c
+++ b/tests/stand-in/user.c
@@ -49,7 +49,7 @@
 static void
 report_violation (const User *user, const char *rule, const MhUserResponse *response)
 {
-  rule_checks_add_violation (user->simulation->rules, "%s: %s got status %u, state %u", rule,
+  rule_checks_add_violation (user->rules, "%s: %s got status %u, state %u", rule,
                              user->job->spec->id, response->status, response->state);
 }
 
@@ -64,7 +64,7 @@
 
 /* An outcome that was reported must not change, and only what has happened may be reported. */
 static void
-check_reported_state (User *user, const MhUserResponse *response)
+check_reported_state (User *user, gint64 now_us, const MhUserResponse *response)
 {
   WorkloadJob *job = user->job;
   if (response->state == MH_JOB_DONE)
@@ -81,7 +81,7 @@
         report_violation (user, "went_back", response);
       user->reported_cancelled = true;
       if (job->cancel_confirmed_us == 0)
-        job->cancel_confirmed_us = user->simulation->clock->now_us;
+        job->cancel_confirmed_us = now_us;
     }
   else if (user->reported_cancelled)
     report_violation (user, "went_back", response);
@@ -94,37 +94,52 @@
 }
 
 static bool
-has_user_waited (const PendingRequest *request, gint64 now_us)
+has_user_waited (MhUserVerb verb, gint64 waited_us)
 {
-  gint64 patience_us
-      = request->verb == MH_USER_STATUS ? QUESTION_PATIENCE_US : SUBMISSION_PATIENCE_US;
-  return now_us - request->sent_us <= patience_us;
+  return waited_us <= (verb == MH_USER_STATUS ? QUESTION_PATIENCE_US : SUBMISSION_PATIENCE_US);
 }
 
-static void
-on_user_response (ControllerNode *node, const PendingRequest *request, const MhAction *action)
+void
+user_note_response (User *user, MhUserVerb verb, gint64 sent_us, gint64 now_us,
+                    const MhUserResponse *response)
 {
-  User *user = request->data;
-  const MhUserResponse *response = &action->response;
-  gint64 now_us = node->simulation->clock->now_us;
-  log_response (user, request, response);
   user->last_status = response->status;
   if (user->job->accepted && denies_job (response))
     report_violation (user, "forgotten", response);
   if (response->status != 200 && response->status != 201)
     return;
-  if (has_user_waited (request, now_us))
+  if (has_user_waited (verb, now_us - sent_us))
     user->last_response_us = now_us;
   if (user->infeasible)
     report_violation (user, "accepted although it is infeasible", response);
-  if (request->verb == MH_USER_SUBMIT)
+  if (verb == MH_USER_SUBMIT)
     user->job->accepted = true;
   /* A request that was sent before the final response may have an older response. */
-  if (request->sent_us < user->final_response_us)
+  if (sent_us < user->final_response_us)
     return;
   if (response->state == MH_JOB_DONE || response->state == MH_JOB_CANCELLED)
     user->final_response_us = now_us;
-  check_reported_state (user, response);
+  check_reported_state (user, now_us, response);
+}
+
+void
+user_check_answered (User *user, gint64 now_us, gint64 calm_since_us)
+{
+  gint64 since_us = MAX (user->last_response_us, calm_since_us);
+  if (!user->job->accepted || now_us - since_us <= MAX_UNANSWERED_US)
+    return;
+  rule_checks_add_violation (user->rules, "forgotten: %s has no answer since %.3f",
+                             user->job->spec->id, (double)since_us / MH_SECOND_US);
+  user->last_response_us = now_us; /* reported once in each such time */
+}
+
+static void
+on_user_response (ControllerNode *node, const PendingRequest *request, const MhAction *action)
+{
+  User *user = request->data;
+  log_response (user, request, &action->response);
+  user_note_response (user, request->verb, request->sent_us, node->simulation->clock->now_us,
+                      &action->response);
 }
 
 /* ---- requests ---- */
@@ -200,6 +215,7 @@
 {
   User *user = g_new0 (User, 1);
   user->simulation = simulation;
+  user->rules = simulation->rules;
   user->job = workload_add (simulation->environment->workload, spec, (gint64)(run_s * 1e6));
   g_ptr_array_add (simulation->users, user);
   fake_clock_add (simulation->clock, simulation->clock->now_us, on_ask_timer, user, NULL);
@@ -226,17 +242,9 @@
 void
 users_check_answered (Simulation *simulation, gint64 calm_since_us)
 {
-  gint64 now_us = simulation->clock->now_us;
   for (guint i = 0; i < simulation->users->len; i++)
-    {
-      User *user = g_ptr_array_index (simulation->users, i);
-      gint64 since_us = MAX (user->last_response_us, calm_since_us);
-      if (!user->job->accepted || now_us - since_us <= MAX_UNANSWERED_US)
-        continue;
-      rule_checks_add_violation (simulation->rules, "forgotten: %s has no answer since %.3f",
-                                 user->job->spec->id, (double)since_us / MH_SECOND_US);
-      user->last_response_us = now_us; /* reported once in each such time */
-    }
+    user_check_answered (g_ptr_array_index (simulation->users, i), simulation->clock->now_us,
+                         calm_since_us);
 }
 
 /* ---- single requests of a test ---- */
--- a/tests/stand-in/user.h
+++ b/tests/stand-in/user.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "stand-in/controller-node.h"
+#include "stand-in/rule-checks.h"
 #include "stand-in/workload.h"
 
 /**
  * User:
- * @simulation: that it is part of
+ * @simulation: (nullable): that it is part of; %NULL: its owner sends the requests
+ * @rules: that violations are reported to; not owned
  * @job: that it submits
  * @wants_cancel: it requests the cancellation of the job
  * @reported_done: a response has reported the job as done
@@ -22,6 +24,7 @@
 typedef struct
 {
   Simulation *simulation;
+  RuleChecks *rules;
   WorkloadJob *job;
   bool wants_cancel;
   bool reported_done, reported_cancelled;
@@ -83,3 +86,18 @@
  */
 void
 users_check_answered (Simulation *simulation, gint64 calm_since_us);
+/**
+ * user_note_response:
+ * @verb: of the request
+ * @sent_us: when the request was sent
+ * @now_us: when the response came
+ * @response: the response
+ *
+ * Checks the response against all earlier ones and against what has happened.
+ */
+void
+user_note_response (User *user, MhUserVerb verb, gint64 sent_us, gint64 now_us,
+                    const MhUserResponse *response);
+/** user_check_answered: As users_check_answered(), for one user. */
+void
+user_check_answered (User *user, gint64 now_us, gint64 calm_since_us);
