Check each action once more where it leaves: no start and no change outside without a lease

The end of the lease was compared in mh_core_pop_action for the actions that carry one; an action that should carry one and did not left unchecked. action-authority is the one pure function that says yes, or no with a reason. A start in the response to a heartbeat, a command to a worker or a change in the cloud without a lease is refused, logged as critical (`invariant violated`, with its facts) and counted (`invariant_violations`). Every simulation fails on that line, and so does the soak, in which a critical line ends the process.

--- a/src/controller/core.c
+++ b/src/controller/core.c
@@ -3,6 +3,7 @@
 #include "cluster/heartbeat.h"
 #include "cluster/machine-registry.h"
 #include "protocol/worker-messages.h"
+#include "runtime/action-authority.h"
 
 enum
 {
@@ -114,22 +115,43 @@
   g_clear_pointer (&action->body, mh_value_unref);
 }
 
-/* The process may be paused between the decision and this call while the clocks advance, so the
-   lease is checked again with the current time. */
+static void
+report_violation (MhCore *core, const MhAction *action)
+{
+  mh_runtime_count (core->runtime, MH_COUNTER_INVARIANT_VIOLATIONS);
+  mh_runtime_log (
+      core->runtime, G_LOG_LEVEL_CRITICAL,
+      "invariant violated: action without a leader lease refused kind=%d id=%" G_GUINT64_FORMAT
+      " path=%s leads=%s",
+      (int)action->kind, action->id, action->request ? action->request->path : "none",
+      mh_runtime_is_leader (core->runtime) ? "true" : "false");
+}
+
+/* Returns whether the host has to carry the action out, be it as a refusal. Frees it otherwise. */
+static bool
+refuse_action (MhCore *core, MhAction *action, MhActionAuthority authority)
+{
+  if (authority == MH_AUTHORITY_NO_LEASE)
+    report_violation (core, action);
+  reject_action (action);
+  if (action->kind == MH_ACTION_RESPOND_TO_USER)
+    mh_runtime_count (core->runtime, MH_COUNTER_RESPONSE_AFTER_LEASE);
+  if (action->kind != MH_ACTION_SEND_REQUEST)
+    return true;
+  mh_call_queue_complete (core->calls, action->id, &(MhCallResponse){ .status = 0 });
+  mh_action_free (action);
+  return false;
+}
+
 MhAction *
 mh_core_pop_action (MhCore *core, gint64 mono_us)
 {
   MhAction *action;
-  while ((action = mh_runtime_pop_action (core->runtime)) && action->lease_until_us
-         && mono_us >= action->lease_until_us)
+  while ((action = mh_runtime_pop_action (core->runtime)))
     {
-      reject_action (action);
-      if (action->kind == MH_ACTION_RESPOND_TO_USER)
-        mh_runtime_count (core->runtime, MH_COUNTER_RESPONSE_AFTER_LEASE);
-      if (action->kind != MH_ACTION_SEND_REQUEST)
+      MhActionAuthority authority = mh_action_authority_decide (action, mono_us);
+      if (authority == MH_AUTHORITY_GRANTED || refuse_action (core, action, authority))
         break;
-      mh_call_queue_complete (core->calls, action->id, &(MhCallResponse){ .status = 0 });
-      mh_action_free (action);
     }
   if (action && action->kind == MH_ACTION_RESPOND_TO_USER
       && action->response.status != STATUS_UNAVAILABLE)
--- a/src/protocol/worker-messages.c
+++ b/src/protocol/worker-messages.c
@@ -214,6 +214,20 @@
   return body;
 }
 
+bool
+mh_commands_include_start (const MhValue *body)
+{
+  const char *start = mh_enum_name_for_value (command_names, MH_COMMAND_START);
+  const MhValue *list = mh_value_get (body, "orders");
+  for (gsize i = 0; list && i < mh_value_list_length (list); i++)
+    {
+      g_autofree char *verb = mh_value_get_text (mh_value_at (list, i), "verb");
+      if (g_strcmp0 (verb, start) == 0)
+        return true;
+    }
+  return false;
+}
+
 MhValue *
 mh_redirect_encode (const char *node)
 {
--- a/src/protocol/worker-messages.h
+++ b/src/protocol/worker-messages.h
@@ -180,6 +180,15 @@
 MhValue *
 mh_commands_encode (guint64 fencing_token, const guint64 *incarnation, GArray *commands);
 
+/**
+ * mh_commands_include_start:
+ * @body: a body made by mh_commands_encode ()
+ *
+ * Returns: whether one of the commands starts a task
+ */
+bool
+mh_commands_include_start (const MhValue *body);
+
 /**
  * mh_redirect_encode:
  * @node: (nullable): the node that the worker has to send heartbeats to; %NULL: unknown
--- a/src/runtime/counter.c
+++ b/src/runtime/counter.c
@@ -19,6 +19,7 @@
     [MH_COUNTER_ELECTIONS] = "elections",
     [MH_COUNTER_PREEMPTION_SITES] = "preemption_sites",
     [MH_COUNTER_CALL_EXPIRED] = "calls_expired",
+    [MH_COUNTER_INVARIANT_VIOLATIONS] = "invariant_violations",
   };
   g_return_val_if_fail ((guint)counter < MH_COUNTERS, "unknown");
   return names[counter];
--- a/src/runtime/counter.h
+++ b/src/runtime/counter.h
@@ -22,6 +22,8 @@
  * @MH_COUNTER_PREEMPTION_SITES: machines whose tasks were examined for a preemption of arrays and
  * services; each takes time in which nothing else is done
  * @MH_COUNTER_CALL_EXPIRED: calls that were not sent because nobody waited for them any more
+ * @MH_COUNTER_INVARIANT_VIOLATIONS: actions that were refused because they should not have been
+ * decided
  *
  * What is counted, since the process started.
  */
@@ -41,10 +43,11 @@
   MH_COUNTER_LEASE_LAPSES,
   MH_COUNTER_ELECTIONS,
   MH_COUNTER_PREEMPTION_SITES,
-  MH_COUNTER_CALL_EXPIRED
+  MH_COUNTER_CALL_EXPIRED,
+  MH_COUNTER_INVARIANT_VIOLATIONS
 } MhCounter;
 /** MH_COUNTERS: number of counters */
-#define MH_COUNTERS 15
+#define MH_COUNTERS 16
 /** MH_FIRST_UNAVAILABLE_COUNTER: the first counter of users' requests that were answered 503 */
 #define MH_FIRST_UNAVAILABLE_COUNTER MH_COUNTER_NO_LEADER
 /** MH_LAST_UNAVAILABLE_COUNTER: the last counter of users' requests that were answered 503 */
--- a/tests/stand-in/simulation.c
+++ b/tests/stand-in/simulation.c
@@ -231,6 +231,7 @@
 simulation_assert_rules (const Simulation *simulation)
 {
   const GPtrArray *violations = simulation->rules->violations;
+  g_assert_false (simulation_has_logged (simulation, "invariant violated"));
   for (guint i = 0; i < violations->len; i++)
     g_printerr ("violated rule: %s\n", (char *)g_ptr_array_index (violations, i));
   g_assert_cmpuint (violations->len, ==, 0);
