--- a/tests/test-partitions.c
+++ b/tests/test-partitions.c
@@ -165,6 +165,26 @@
   wait_until_all_settled (simulation, 300);
 }
 
+/* Guards against a new leader that no worker can reach, and that releases their machines as silent
+   since its election: the silence may as well be its own. */
+static void
+test_leader_hears_no_worker (Simulation *simulation)
+{
+  const double cut_s = 12; /* shorter than the leases of the workers */
+  for (guint i = 0; i < 6; i++)
+    cloud_add_machine (simulation->cloud, "small", "a", false);
+  simulation_run (simulation, 10);
+  start_service (simulation, 1, 12);
+  guint leader = simulation_leader (simulation)->index;
+  ControllerNode *next = &simulation->nodes[(leader + 1) % SIMULATION_NODES];
+  simulation_stop_node (simulation, (leader + 2) % SIMULATION_NODES);
+  next->workers_cut_until_us = simulation->clock->now_us + (gint64)(cut_s * MH_SECOND_US);
+  simulation_pause_node (simulation, leader, cut_s);
+  simulation_run (simulation, cut_s);
+  g_assert_false (simulation_has_logged (simulation, "reason=silent_since_failover"));
+  simulation_run (simulation, 30);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -180,5 +200,6 @@
                        test_single_zone_array_loses_machines);
   simulation_test_add ("/partitions/responses-of-new-leader-lost", 83,
                        test_responses_of_new_leader_lost);
+  simulation_test_add ("/partitions/leader-hears-no-worker", 96, test_leader_hears_no_worker);
   return g_test_run ();
 }
