--- a/src/runtime/call-queue.c
+++ b/src/runtime/call-queue.c
@@ -1,21 +1,15 @@
-#include "runtime/call-queue.h"
+#include "runtime/call-queue-private.h"
 
-#include "base/token-bucket.h"
+#include "runtime/queued-call.h"
 
-/* Changes of keys in the key-value store: the share of the store's rate limit that this controller
-   uses, and the burst of its token bucket, in seconds at the full limit. The other controllers
-   write a little too. */
-#define WRITE_RATE_SHARE 0.9
-#define WRITE_BURST_S 0.8
-/* Likewise for requests to the key-value store. The other controllers also read and watch. */
+/* Requests to the key-value store: the share of its rate limit that this controller uses, and the
+   burst of its token bucket, in seconds at the full limit. The other controllers also read and
+   watch. */
 #define STORE_RATE_SHARE 0.75
 #define STORE_BURST_S 0.4
 /* Likewise for requests to the cloud. */
 #define CLOUD_RATE_SHARE 0.9
 #define CLOUD_BURST_S 1.5
-/* Pause of calls to the key-value store after one has failed, and the random addition to it. */
-#define STORE_FAILURE_PAUSE_US (MH_SECOND_US / 10)
-#define STORE_FAILURE_PAUSE_JITTER_US 150000
 /* Time until calls that wait for tokens are tried again. */
 #define STORE_TOKEN_RETRY_US 20000
 #define CLOUD_TOKEN_RETRY_US 100000
@@ -26,36 +20,6 @@
 #define WORKER_CALLS_DIVISOR 12u
 #define MIN_WORKER_CALLS 16u
 
-typedef struct
-{
-  guint64 id;
-  MhRequest *request;
-  gint64 queued_us;
-  gint64 timeout_us;
-  gint64 deadline_us; /* 0: none */
-  double changes;
-} QueuedCall;
-
-struct MhCallQueue
-{
-  MhRuntime *runtime;
-  MhPendingCalls *pending;
-  GQueue store_queue[MH_CALL_CLASSES], cloud_queue[MH_CALL_CLASSES]; /* QueuedCall */
-  GQueue worker_queue;                                               /* QueuedCall */
-  MhTokenBucket store_bucket, write_bucket, cloud_bucket;
-  gint64 store_paused_until_us, cloud_paused_until_us;
-  bool write_rate_lowered;
-  gint64 next_expiry_us; /* when to look for calls whose deadline has passed */
-};
-
-static void
-queued_call_free (gpointer data)
-{
-  QueuedCall *queued = data;
-  mh_request_free (queued->request);
-  g_free (queued);
-}
-
 MhCallQueue *
 mh_call_queue_new (MhRuntime *runtime)
 {
@@ -68,8 +32,8 @@
   queue->pending = mh_pending_calls_new ();
   mh_token_bucket_init (&queue->store_bucket, settings->store_rps * STORE_RATE_SHARE,
                         settings->store_rps * STORE_BURST_S, now_us);
-  mh_token_bucket_init (&queue->write_bucket, settings->store_write_rps * WRITE_RATE_SHARE,
-                        settings->store_write_rps * WRITE_BURST_S, now_us);
+  mh_token_bucket_init (&queue->write_bucket, settings->store_write_rps * MH_WRITE_RATE_SHARE,
+                        settings->store_write_rps * MH_WRITE_BURST_S, now_us);
   mh_token_bucket_init (&queue->cloud_bucket, settings->cloud_rps * CLOUD_RATE_SHARE,
                         settings->cloud_rps * CLOUD_BURST_S, now_us);
   return queue;
@@ -115,19 +79,6 @@
     }
 }
 
-static QueuedCall *
-queued_call_new (guint64 id, MhRequest *request, const MhCallOptions *options, gint64 now_us)
-{
-  QueuedCall *queued = g_new0 (QueuedCall, 1);
-  queued->id = id;
-  queued->request = request;
-  queued->queued_us = now_us;
-  queued->timeout_us = options->timeout_us;
-  queued->deadline_us = options->deadline_us;
-  queued->changes = options->changes;
-  return queued;
-}
-
 void
 mh_call_queue_add (MhCallQueue *queue, MhRequest *request, const MhCallOptions *options)
 {
@@ -140,7 +91,10 @@
                                   .free_data = options->free_data };
   mh_pending_calls_add (queue->pending, id, &pending);
   GQueue *waiting = queue_for (queue, request->target, options->class);
-  QueuedCall *queued = queued_call_new (id, request, options, mh_runtime_now_us (queue->runtime));
+  MhQueuedCall *queued = mh_queued_call_new (id, request, mh_runtime_now_us (queue->runtime));
+  queued->timeout_us = options->timeout_us;
+  queued->deadline_us = options->deadline_us;
+  queued->changes = options->changes;
   if (options->class == MH_CALL_BACKGROUND)
     g_queue_push_head (waiting, queued);
   else
@@ -161,10 +115,10 @@
 {
   for (guint i = 0; i < MH_CALL_CLASSES; i++)
     {
-      g_queue_clear_full (&queue->store_queue[i], queued_call_free);
-      g_queue_clear_full (&queue->cloud_queue[i], queued_call_free);
+      g_queue_clear_full (&queue->store_queue[i], mh_queued_call_free);
+      g_queue_clear_full (&queue->cloud_queue[i], mh_queued_call_free);
     }
-  g_queue_clear_full (&queue->worker_queue, queued_call_free);
+  g_queue_clear_full (&queue->worker_queue, mh_queued_call_free);
   mh_pending_calls_forget_all (queue->pending);
 }
 
@@ -173,7 +127,7 @@
 {
   g_return_val_if_fail (queue && (guint) class < MH_CALL_CLASSES, (MhBacklog){ 0 });
   GQueue *waiting = queue_for ((MhCallQueue *)queue, target, class);
-  const QueuedCall *oldest
+  const MhQueuedCall *oldest
       = class == MH_CALL_BACKGROUND ? g_queue_peek_tail (waiting) : g_queue_peek_head (waiting);
   return (MhBacklog){ .waiting = waiting->length,
                       .oldest_age_us
@@ -192,7 +146,7 @@
 /* Commands to workers and calls that change something in the cloud carry the end of the leader
    lease. Writes to the key-value store carry the conditions of their transaction instead. */
 static void
-send_call (MhCallQueue *queue, QueuedCall *queued)
+send_call (MhCallQueue *queue, MhQueuedCall *queued)
 {
   MhAction *action = mh_runtime_add_action (queue->runtime, MH_ACTION_SEND_REQUEST, queued->id);
   gint64 now_us = mh_runtime_now_us (queue->runtime);
@@ -203,7 +157,7 @@
     action->timeout_us = MIN (action->timeout_us, queued->deadline_us - now_us);
   if (action->request->target != MH_TARGET_KEY_VALUE_STORE && action->request->body)
     action->lease_until_us = mh_runtime_lease_until_us (queue->runtime);
-  queued_call_free (queued);
+  mh_queued_call_free (queued);
 }
 
 static bool
@@ -238,7 +192,7 @@
   for (GList *link = queue->store_queue[class].head, *next; link && has_connection (queue, pool);
        link = next)
     {
-      QueuedCall *queued = link->data;
+      MhQueuedCall *queued = link->data;
       next = link->next;
       bool limited = class != MH_CALL_LEASE;
       if (limited && !store_has_token (queue))
@@ -309,28 +263,6 @@
     send_call (queue, g_queue_pop_head (&queue->worker_queue));
 }
 
-/* Removes the calls of a class whose deadline has passed, and adds their numbers to `expired`. */
-static void
-collect_expired (MhCallQueue *queue, MhCallClass class, GArray *expired)
-{
-  gint64 now_us = mh_runtime_now_us (queue->runtime);
-  for (GList *link = queue->store_queue[class].head, *next; link; link = next)
-    {
-      QueuedCall *queued = link->data;
-      next = link->next;
-      if (queued->deadline_us == 0)
-        continue;
-      if (queued->deadline_us > now_us)
-        {
-          queue->next_expiry_us = MIN (queue->next_expiry_us, queued->deadline_us);
-          continue;
-        }
-      g_array_append_val (expired, queued->id);
-      g_queue_delete_link (&queue->store_queue[class], link);
-      queued_call_free (queued);
-    }
-}
-
 /* The modules that made the calls may add others meanwhile. */
 static void
 end_expired (MhCallQueue *queue)
@@ -341,7 +273,10 @@
   queue->next_expiry_us = G_MAXINT64;
   g_autoptr (GArray) expired = g_array_new (FALSE, FALSE, sizeof (guint64));
   for (guint class = 0; class < MH_CALL_CLASSES; class ++)
-    collect_expired (queue, (MhCallClass) class, expired);
+    {
+      gint64 next_us = mh_queued_calls_remove_expired (&queue->store_queue[class], now_us, expired);
+      queue->next_expiry_us = MIN (queue->next_expiry_us, next_us);
+    }
   const MhCallResponse response = { .status = 0 };
   for (guint i = 0; i < expired->len; i++)
     {
@@ -362,101 +297,3 @@
   if (queue->next_expiry_us != G_MAXINT64)
     mh_runtime_wake_at (queue->runtime, queue->next_expiry_us);
 }
-
-/* ---- limits of the key-value store ---- */
-
-double
-mh_call_queue_store_rate (const MhCallQueue *queue)
-{
-  return queue->store_bucket.rate;
-}
-
-double
-mh_call_queue_write_burst (const MhCallQueue *queue)
-{
-  return queue->write_bucket.burst;
-}
-
-bool
-mh_call_queue_may_write (MhCallQueue *queue, double changes, double *tokens)
-{
-  gint64 now_us = mh_runtime_now_us (queue->runtime);
-  bool allowed = now_us >= queue->store_paused_until_us
-                 && mh_token_bucket_has (&queue->write_bucket, changes, now_us);
-  *tokens = queue->write_bucket.tokens;
-  return allowed;
-}
-
-gint64
-mh_call_queue_store_paused_until_us (const MhCallQueue *queue)
-{
-  return queue->store_paused_until_us;
-}
-
-void
-mh_call_queue_pause_store (MhCallQueue *queue, gint64 min_delay_us, gint64 jitter_us)
-{
-  queue->store_paused_until_us = mh_runtime_jittered_us (queue->runtime, min_delay_us, jitter_us);
-}
-
-void
-mh_call_queue_pause_cloud (MhCallQueue *queue, gint64 min_delay_us, gint64 jitter_us)
-{
-  queue->cloud_paused_until_us = mh_runtime_jittered_us (queue->runtime, min_delay_us, jitter_us);
-}
-
-static const char *
-failure_reason (guint status)
-{
-  switch (status)
-    {
-    case 0:
-      return "no_answer";
-    case 503:
-      return "unavailable_or_refuses_this_controller";
-    case 429:
-      return "too_many_requests";
-    default:
-      return "unexpected_answer";
-    }
-}
-
-void
-mh_call_queue_log_store_failure (MhCallQueue *queue, guint status)
-{
-  mh_log_info_limited (queue->runtime, MH_LOG_STORE,
-                       "key-value store call failed status=%u reason=%s", status,
-                       failure_reason (status));
-}
-
-void
-mh_call_queue_handle_store_failure (MhCallQueue *queue, guint status)
-{
-  g_return_if_fail (queue);
-  mh_call_queue_log_store_failure (queue, status);
-  if (status == 429)
-    mh_call_queue_lower_write_rate (queue);
-  mh_call_queue_pause_store (queue, STORE_FAILURE_PAUSE_US, STORE_FAILURE_PAUSE_JITTER_US);
-}
-
-void
-mh_call_queue_lower_write_rate (MhCallQueue *queue)
-{
-  double next_rate = mh_runtime_settings (queue->runtime)->next_write_rps;
-  if (next_rate <= 0 || queue->write_rate_lowered)
-    return;
-  queue->write_rate_lowered = true;
-  if (queue->write_bucket.rate <= next_rate * WRITE_RATE_SHARE)
-    return;
-  mh_log_info (queue->runtime,
-               "lowering rate of changes to key-value store changes_per_second=%.1f", next_rate);
-  mh_token_bucket_init (&queue->write_bucket, next_rate * WRITE_RATE_SHARE,
-                        next_rate * WRITE_BURST_S, mh_runtime_now_us (queue->runtime));
-  mh_token_bucket_take (&queue->write_bucket, queue->write_bucket.burst);
-}
-
-bool
-mh_call_queue_write_rate_is_lowered (const MhCallQueue *queue)
-{
-  return queue->write_rate_lowered;
-}
--- a/tests/soak/link-proxy.c
+++ b/tests/soak/link-proxy.c
@@ -20,7 +20,7 @@
 typedef struct
 {
   LinkProxy *link;
-  GSocket *from, *to;
+  GSocket *source, *target;
   bool is_answer;
 } Pump;
 
@@ -67,13 +67,13 @@
   while (get_state (pump->link) != LINK_REFUSED)
     {
       g_autoptr (GError) error = NULL;
-      if (!g_socket_condition_timed_wait (pump->from, G_IO_IN, POLL_INTERVAL_US, NULL, &error))
+      if (!g_socket_condition_timed_wait (pump->source, G_IO_IN, POLL_INTERVAL_US, NULL, &error))
         {
           if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT))
             continue;
           return false;
         }
-      *size = g_socket_receive (pump->from, buffer, BUFFER_SIZE, NULL, NULL);
+      *size = g_socket_receive (pump->source, buffer, BUFFER_SIZE, NULL, NULL);
       return *size > 0;
     }
   return false;
@@ -86,24 +86,24 @@
   char *buffer = g_malloc (BUFFER_SIZE);
   gssize size;
   while (receive (pump, buffer, &size) && wait_until_open (pump)
-         && send_all (pump->to, buffer, size))
+         && send_all (pump->target, buffer, size))
     continue;
-  g_socket_shutdown (pump->from, TRUE, TRUE, NULL);
-  g_socket_shutdown (pump->to, TRUE, TRUE, NULL);
-  g_object_unref (pump->from);
-  g_object_unref (pump->to);
+  g_socket_shutdown (pump->source, TRUE, TRUE, NULL);
+  g_socket_shutdown (pump->target, TRUE, TRUE, NULL);
+  g_object_unref (pump->source);
+  g_object_unref (pump->target);
   g_free (buffer);
   g_free (pump);
   return NULL;
 }
 
 static void
-start_pump (LinkProxy *link, GSocket *from, GSocket *to, bool is_answer)
+start_pump (LinkProxy *link, GSocket *source, GSocket *target, bool is_answer)
 {
   Pump *pump = g_new0 (Pump, 1);
   pump->link = link;
-  pump->from = g_object_ref (from);
-  pump->to = g_object_ref (to);
+  pump->source = g_object_ref (source);
+  pump->target = g_object_ref (target);
   pump->is_answer = is_answer;
   g_thread_unref (g_thread_new ("pump", pump_bytes, pump));
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,7 +1,6 @@
 #include "soak/soak.h"
 
 #include <glib/gstdio.h>
-#include <stdio.h>
 
 #define STEP_MS 25
 #define REPORTED_LAG_US (MH_SECOND_US / 2)
@@ -33,12 +32,13 @@
 static void
 write_history (const Soak *soak, const char *dir)
 {
+  g_autoptr (GError) error = NULL;
   g_autofree char *path = g_build_filename (dir, "history.txt", NULL);
-  FILE *file = g_fopen (path, "w");
-  for (guint i = 0; file && i < soak->history->len; i++)
-    fputs (g_ptr_array_index (soak->history, i), file);
-  if (file)
-    fclose (file);
+  g_autoptr (GString) text = g_string_new (NULL);
+  for (guint i = 0; i < soak->history->len; i++)
+    g_string_append (text, g_ptr_array_index (soak->history, i));
+  if (!g_file_set_contents (path, text->str, -1, &error))
+    g_printerr ("soak: %s\n", error->message);
 }
 
 /* ---- set-up ---- */
