Soak harness: ports that no other process can take

The harness keeps the ports of controllers bound without listening now, and lets the kernel choose all others while it listens. Two runs at once are safe; test-loopback has the same.

--- a/tests/loopback-cluster.c
+++ b/tests/loopback-cluster.c
@@ -1,6 +1,5 @@
 #include "loopback-cluster.h"
 
-#include "free-address.h"
 #include "protocol/user-messages.h"
 #include "settings/settings-loader.h"
 
@@ -255,21 +254,29 @@
                 "/hello", bytes, HEARTBEAT_TIMEOUT_US, on_heartbeat_response, worker);
 }
 
+/* Starts a server on a port that the kernel chooses, and returns the port. */
+static guint
+listen_on_any_port (SoupServer *server)
+{
+  g_autoptr (GError) error = NULL;
+  soup_server_listen_local (server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, &error);
+  g_assert_no_error (error);
+  GSList *uris = soup_server_get_uris (server);
+  guint port = (guint)g_uri_get_port (uris->data);
+  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  return port;
+}
+
 static LoopbackWorker *
 worker_new (LoopbackCluster *cluster, Machine *machine)
 {
-  g_autoptr (GError) error = NULL;
   LoopbackWorker *worker = g_new0 (LoopbackWorker, 1);
   worker->cluster = cluster;
   worker->machine = machine;
   worker->server = soup_server_new (NULL, NULL);
   soup_server_add_handler (worker->server, NULL, handle_worker_request, worker, NULL);
-  soup_server_listen_local (worker->server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, &error);
-  g_assert_no_error (error);
-  GSList *uris = soup_server_get_uris (worker->server);
   g_free (machine->endpoint);
-  machine->endpoint = g_strdup_printf ("127.0.0.1:%d", g_uri_get_port (uris->data));
-  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  machine->endpoint = g_strdup_printf ("127.0.0.1:%u", listen_on_any_port (worker->server));
   return worker;
 }
 
@@ -374,16 +381,33 @@
     }
 }
 
+/* Returns a port that no other process gets until the cluster is freed. The reservation is bound
+   and does not listen, so that the controller may bind the port as well. */
+static guint
+reserve_port (LoopbackCluster *cluster)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSocketAddress) any = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
+  GSocket *socket
+      = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
+  g_assert_no_error (error);
+  g_socket_bind (socket, any, TRUE, &error);
+  g_assert_no_error (error);
+  g_ptr_array_add (cluster->reservations, socket);
+  g_autoptr (GSocketAddress) address = g_socket_get_local_address (socket, &error);
+  g_assert_no_error (error);
+  return g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (address));
+}
+
 static void
 choose_ports (LoopbackCluster *cluster)
 {
-  cluster->services_port = find_free_port ();
   for (guint i = 0; i < LOOPBACK_NODES; i++)
     {
       LoopbackNode *node = &cluster->nodes[i];
       g_autofree char *name = g_strdup_printf ("node-%u.toml", i);
-      node->front = find_free_port ();
-      node->peer = find_free_port ();
+      node->front = reserve_port (cluster);
+      node->peer = reserve_port (cluster);
       node->store = cluster->services_port;
       node->config = g_build_filename (cluster->dir, name, NULL);
       for (guint j = 0; j < LOOPBACK_NODES; j++)
@@ -405,6 +429,10 @@
   LoopbackCluster *cluster = g_new0 (LoopbackCluster, 1);
   cluster->options = *options;
   cluster->dir = g_dir_make_tmp ("minthill-XXXXXX", NULL);
+  cluster->reservations = g_ptr_array_new_with_free_func (g_object_unref);
+  cluster->services = soup_server_new (NULL, NULL);
+  soup_server_add_handler (cluster->services, NULL, handle_service_request, cluster, NULL);
+  cluster->services_port = listen_on_any_port (cluster->services);
   choose_ports (cluster);
   loopback_cluster_write_settings (cluster);
   cluster->settings = mh_settings_load (cluster->nodes[0].config, NULL, &error);
@@ -416,11 +444,6 @@
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, g_object_unref, NULL);
   cluster->session = session_new ();
   cluster->worker_session = session_new ();
-  cluster->services = soup_server_new (NULL, NULL);
-  soup_server_add_handler (cluster->services, NULL, handle_service_request, cluster, NULL);
-  soup_server_listen_local (cluster->services, cluster->services_port, SOUP_SERVER_LISTEN_IPV4_ONLY,
-                            &error);
-  g_assert_no_error (error);
   cluster->timer = g_timeout_add (TIMER_INTERVAL_MS, on_timer, cluster);
   return cluster;
 }
@@ -436,4 +459,5 @@
       g_free (cluster->nodes[i].config);
     }
   g_rmdir (cluster->dir);
+  g_ptr_array_unref (cluster->reservations);
 }
--- a/tests/loopback-cluster.h
+++ b/tests/loopback-cluster.h
@@ -76,6 +76,7 @@
 
   LoopbackOptions options;
   SoupServer *services;
+  GPtrArray *reservations; /* GSocket, of the ports of controllers */
   SoupSession *session;
   SoupSession *worker_session;
   char *dir;
--- a/tests/soak/link-proxy.c
+++ b/tests/soak/link-proxy.c
@@ -1,7 +1,5 @@
 #include "soak/link-proxy.h"
 
-#include "free-address.h"
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -138,17 +136,19 @@
 link_proxy_new (guint target_port)
 {
   g_autoptr (GError) error = NULL;
-  g_autoptr (GSocketAddress) address = find_free_address ();
+  g_autoptr (GSocketAddress) any = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
   LinkProxy *link = g_new0 (LinkProxy, 1);
-  link->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (address));
   link->target = g_inet_socket_address_new_from_string ("127.0.0.1", target_port);
   link->listener
       = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
-  g_socket_bind (link->listener, address, TRUE, &error);
+  g_socket_bind (link->listener, any, TRUE, &error);
   g_assert_no_error (error);
   g_socket_set_listen_backlog (link->listener, 128);
   g_socket_listen (link->listener, &error);
   g_assert_no_error (error);
+  g_autoptr (GSocketAddress) address = g_socket_get_local_address (link->listener, &error);
+  g_assert_no_error (error);
+  link->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (address));
   g_thread_unref (g_thread_new ("link", accept_connections, link));
   return link;
 }
