--- a/tests/loopback-cluster.h
+++ b/tests/loopback-cluster.h
@@ -15,6 +15,7 @@
  * @settings: tables of the platform's settings file below [settings], without those of controllers
  *   and endpoints
  * @log_dir: (nullable): directory for the controllers' log files; %NULL: standard error
+ * @heartbeat_interval_us: between two heartbeats of a worker, in microseconds
  * @crash_on_critical: a critical log message ends a controller
  */
 typedef struct
@@ -22,6 +23,7 @@
   const char *program;
   const char *settings;
   const char *log_dir;
+  gint64 heartbeat_interval_us;
   bool crash_on_critical;
 } LoopbackOptions;
 
--- a/tests/test-loopback.c
+++ b/tests/test-loopback.c
@@ -121,6 +121,7 @@
                       "txn_ops = 16\n[settings.cloud]\nrps = 5.0\nlist_lag_s = 0.2\n"
                       "[settings.resources]\ncore_share = 1.0\nmax_connections = " G_STRINGIFY (
                           MAX_CONNECTIONS) "\n",
+          .heartbeat_interval_us = 300 * MH_MILLISECOND_US,
           .crash_on_critical = true };
   LoopbackOptions with_program = options;
   with_program.program = program;
