Never send a read after its deadline

Found by reading the change once more: expired reads are looked for every 20 ms at most, and one that expired in between was sent with a negative time limit, which the HTTP client takes for 49 days. With a store that does not answer, twelve of them would have ended all reads for users. call-queue/read-is-sent-after-deadline failed before.

--- a/src/runtime/call-queue.c
+++ b/src/runtime/call-queue.c
@@ -195,6 +195,8 @@
       MhQueuedCall *queued = link->data;
       next = link->next;
       bool limited = class != MH_CALL_LEASE;
+      if (queued->deadline_us && queued->deadline_us <= now_us)
+        continue; /* end_expired() ends it */
       if (limited && !store_has_token (queue))
         {
           mh_runtime_wake_at (queue->runtime,
--- a/tests/test-runtime.c
+++ b/tests/test-runtime.c
@@ -340,6 +340,29 @@
   g_assert_cmpuint (mh_runtime_get_count (fixture->runtime, MH_COUNTER_CALL_EXPIRED), ==, 3);
 }
 
+/* Guards against a read that is sent just after its deadline, between two searches for expired
+   ones: its time limit was negative, and its connection would never come back if the store did not
+   answer. */
+static void
+test_read_is_sent_after_deadline (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  guint64 last = 0;
+  gint64 deadline_us = START_US + MH_SECOND_US / 10;
+  add_reads (fixture, MH_USER_READ_CONNECTIONS, 0);
+  flush (fixture, &last);
+  add_reads (fixture, 1, deadline_us + 10 * MH_MILLISECOND_US);
+  add_reads (fixture, 1, deadline_us);
+  set_time (fixture, deadline_us);
+  g_assert_cmpuint (flush (fixture, NULL), ==, 0);
+  set_time (fixture, deadline_us + 15 * MH_MILLISECOND_US);
+  mh_call_queue_complete (fixture->calls, last, &(MhCallResponse){ .status = 200 });
+  g_assert_cmpuint (flush (fixture, NULL), ==, 0);
+  set_time (fixture, deadline_us + 25 * MH_MILLISECOND_US);
+  g_assert_cmpuint (flush (fixture, NULL), ==, 0);
+  g_assert_cmpuint (mh_runtime_get_count (fixture->runtime, MH_COUNTER_CALL_EXPIRED), ==, 2);
+}
+
 /* Guards against reads that are sent in the order of their arrival under overload, so that each is
    sent just before its user gives up. */
 static void
@@ -398,6 +421,7 @@
   ADD ("/call-queue/user-reads-hold-all-connections", test_reads_leave_connections);
   ADD ("/call-queue/forgotten-calls-hold-connections", test_forgotten_calls_hold_connections);
   ADD ("/call-queue/expired-reads-are-sent", test_expired_reads_are_not_sent);
+  ADD ("/call-queue/read-is-sent-after-deadline", test_read_is_sent_after_deadline);
   ADD ("/call-queue/oldest-read-is-sent-first", test_newest_read_is_sent_first);
   ADD ("/call-queue/throttling-lowers-write-rate", test_throttling_lowers_write_rate);
   return g_test_run ();
