Log which submissions are not accepted, and why

Three places can answer it so, and no line told them apart: the HTTP server of the node that was asked (only at debug level), the leader that cannot read a forwarded submission (no line), and admission at the leader (no line).

--- a/src/controller/admission.c
+++ b/src/controller/admission.c
@@ -45,6 +45,23 @@
   return MH_ADMISSION_ACCEPT;
 }
 
+const char *
+mh_admission_name (MhAdmission admission)
+{
+  switch (admission)
+    {
+    case MH_ADMISSION_ACCEPT:
+      return "accepted";
+    case MH_ADMISSION_TOO_LARGE:
+      return "record_too_large";
+    case MH_ADMISSION_IMPOSSIBLE:
+      return "can_never_run";
+    case MH_ADMISSION_UNDECIDED:
+      return "machine_types_unknown";
+    }
+  g_return_val_if_reached ("unknown");
+}
+
 void
 mh_admission_keep_known_types (const GPtrArray *types, MhJobSpec *spec)
 {
--- a/src/controller/admission.h
+++ b/src/controller/admission.h
@@ -35,6 +35,15 @@
 MhAdmission
 mh_admission_check (const MhSettings *settings, const GPtrArray *types, const MhJobSpec *spec);
 
+/**
+ * mh_admission_name:
+ * @admission: a decision about a submission
+ *
+ * Returns: (transfer none): its name in log lines
+ */
+const char *
+mh_admission_name (MhAdmission admission);
+
 /**
  * mh_admission_keep_known_types:
  * @types: (nullable) (element-type MhMachineType): the machine types; %NULL: not known yet,
--- a/src/controller/user-requests.c
+++ b/src/controller/user-requests.c
@@ -56,12 +56,24 @@
   return job;
 }
 
+static void
+log_not_accepted (MhCore *core, const char *job_id, MhAdmission admission)
+{
+  bool types_known = mh_cluster_types (core->cluster) != NULL;
+  mh_log_info_limited (core->runtime, MH_LOG_ADMISSION,
+                       "submission cannot be accepted job=%s reason=%s machine_types=%s", job_id,
+                       mh_admission_name (admission), types_known ? "known" : "unknown");
+}
+
 static void
 submit_new_job (MhCore *core, MhUserRequest *request)
 {
   const GPtrArray *types = mh_cluster_types (core->cluster);
   mh_admission_keep_known_types (types, request->spec);
-  switch (mh_admission_check (core->settings, types, request->spec))
+  MhAdmission admission = mh_admission_check (core->settings, types, request->spec);
+  if (admission != MH_ADMISSION_ACCEPT)
+    log_not_accepted (core, request->job_id, admission);
+  switch (admission)
     {
     case MH_ADMISSION_ACCEPT:
       respond_when_durable (create_job (core, g_steal_pointer (&request->spec)), request);
--- a/src/runtime/runtime.h
+++ b/src/runtime/runtime.h
@@ -42,6 +42,7 @@
  * @MH_LOG_BOOT: machines whose boot takes longer than expected
  * @MH_LOG_STORE: calls to the key-value store that failed
  * @MH_LOG_PEER: requests that another controller did not answer
+ * @MH_LOG_ADMISSION: submissions that cannot be accepted
  *
  * Subjects of rate-limited log lines. Thousands of machines or calls may cause a line on the same
  * subject at the same time; at most one line a second is logged on each.
@@ -50,10 +51,11 @@
 {
   MH_LOG_BOOT,
   MH_LOG_STORE,
-  MH_LOG_PEER
+  MH_LOG_PEER,
+  MH_LOG_ADMISSION
 } MhLogSubject;
 /** MH_LOG_SUBJECTS: number of subjects */
-#define MH_LOG_SUBJECTS 3
+#define MH_LOG_SUBJECTS 4
 
 /**
  * mh_runtime_new:
--- a/src/server/request-forwarder.c
+++ b/src/server/request-forwarder.c
@@ -102,12 +102,15 @@
 read_submission (const MhControllerMessage *message)
 {
   gsize size;
+  g_autoptr (GError) error = NULL;
   const void *data = g_bytes_get_data (message->body, &size);
-  g_autoptr (MhValue) body = mh_value_parse (data, size, NULL);
-  g_autoptr (MhJobSpec) spec = mh_submission_decode (body, NULL);
-  if (spec == NULL || strcmp (spec->id, message->job) != 0)
-    return NULL;
-  return g_steal_pointer (&spec);
+  g_autoptr (MhValue) body = mh_value_parse (data, size, &error);
+  g_autoptr (MhJobSpec) spec = body ? mh_submission_decode (body, &error) : NULL;
+  if (spec && strcmp (spec->id, message->job) == 0)
+    return g_steal_pointer (&spec);
+  g_info ("malformed forwarded submission job=%s reason=%s", message->job,
+          error ? error->message : "id: another job than the message names");
+  return NULL;
 }
 
 MhPendingRequest *
