Never refuse a submission before the records are asked whether its job was accepted

What callers saw: the repeated submission of an accepted job that was done got 400, which is final, from a leader that did not know the machine types yet; a question about the job got 200.

Cause: admission decides from settings and machine types, which may differ between the controller that accepted a job and the one that is asked later. "Can never run" was looked up in the records first; "too large" was not. And the size was judged with the whole list of allowed types while none were known, though only the known ones are recorded.

Change: mh_admission_check finds the types that would be recorded by itself; while none are known only what is too large without any list is refused. Every submission that is not accepted is looked up, also without a leader if it would be refused; what a new job gets (422, 400, 503) is the answer only if there is no record. That holds for every reason of a refusal, since admission cannot be answered any other way now. Look-ups of submissions that cannot be decided are background reads with the limit on questions, so that retries do not take the store's capacity from writes.

--- a/src/controller/admission.c
+++ b/src/controller/admission.c
@@ -25,13 +25,40 @@
   return false;
 }
 
+/* Returns NULL when the submission allows any type. */
+static char **
+list_known_types (const GPtrArray *types, const MhJobSpec *spec)
+{
+  if (spec->types == NULL)
+    return NULL;
+  g_autoptr (GStrvBuilder) known = g_strv_builder_new ();
+  for (guint i = 0; i < types->len; i++)
+    {
+      const MhMachineType *type = g_ptr_array_index (types, i);
+      if (g_strv_contains ((const char *const *)spec->types, type->name))
+        g_strv_builder_add (known, type->name);
+    }
+  return g_strv_builder_end (known);
+}
+
+/* Only the known ones of the allowed types are recorded. While none are known, the record may be as
+   small as without any. */
+static bool
+fits_record (const MhSettings *settings, const GPtrArray *types, const MhJobSpec *spec)
+{
+  g_auto (GStrv) known = types ? list_known_types (types, spec) : NULL;
+  MhJobSpec recorded = *spec;
+  recorded.types = known;
+  return mh_job_tasks_per_record (&recorded, settings->value_bytes) > 0;
+}
+
 MhAdmission
 mh_admission_check (const MhSettings *settings, const GPtrArray *types, const MhJobSpec *spec)
 {
   g_return_val_if_fail (settings && spec, MH_ADMISSION_IMPOSSIBLE);
   /* The key-value store would reject the record each time it is written, and the user, who gets
      503, would retry for ever. */
-  if (mh_job_tasks_per_record (spec, settings->value_bytes) == 0)
+  if (!fits_record (settings, types, spec))
     return MH_ADMISSION_TOO_LARGE;
   const MhTeam *team = mh_settings_find_team (settings, spec->team);
   if (team == NULL || exceeds_quota (team, spec))
@@ -66,15 +93,9 @@
 mh_admission_keep_known_types (const GPtrArray *types, MhJobSpec *spec)
 {
   g_return_if_fail (spec);
-  if (spec->types == NULL || types == NULL)
+  if (types == NULL)
     return;
-  g_autoptr (GStrvBuilder) known = g_strv_builder_new ();
-  for (guint i = 0; i < types->len; i++)
-    {
-      const MhMachineType *type = g_ptr_array_index (types, i);
-      if (g_strv_contains ((const char *const *)spec->types, type->name))
-        g_strv_builder_add (known, type->name);
-    }
+  char **known = list_known_types (types, spec);
   g_strfreev (spec->types);
-  spec->types = g_strv_builder_end (known);
+  spec->types = known;
 }
--- a/src/controller/admission.h
+++ b/src/controller/admission.h
@@ -8,7 +8,8 @@
 /**
  * MhAdmission:
  * @MH_ADMISSION_ACCEPT: the job can run
- * @MH_ADMISSION_TOO_LARGE: the job's record does not fit a value of the key-value store
+ * @MH_ADMISSION_TOO_LARGE: the job's record does not fit a value of the key-value store, whatever
+ * the machine types are if they are not known
  * @MH_ADMISSION_IMPOSSIBLE: the job can never run with these settings and machine types
  * @MH_ADMISSION_UNDECIDED: cannot be decided, since the machine types are not known yet
  *
@@ -28,7 +29,9 @@
  * @types: (nullable) (element-type MhMachineType): the machine types; %NULL: not known yet
  * @spec: the submitted job
  *
- * Source: PROTOCOL, "POST /submissions".
+ * Decides whether a job that is not known could be accepted now. It depends on the settings and the
+ * machine types, so that a job may have been accepted earlier, or by another controller, for which
+ * the decision is another one now. Source: PROTOCOL, "POST /submissions".
  *
  * Returns: the decision about @spec
  */
--- a/src/controller/user-requests.c
+++ b/src/controller/user-requests.c
@@ -16,8 +16,7 @@
 enum
 {
   STATUS_OK = 200,
-  STATUS_CREATED = 201,
-  STATUS_BAD_REQUEST = 400
+  STATUS_CREATED = 201
 };
 
 /* ---- responses ---- */
@@ -44,6 +43,20 @@
   g_array_append_val (job->waiters, waiter);
 }
 
+/* ---- requests that are answered from the records ---- */
+
+/* Answers a status query or a cancellation. */
+static void
+look_up_state (MhCore *core, const MhUserRequest *request, MhLookupScope scope)
+{
+  const MhLookupRequest lookup = { .id = request->id,
+                                   .job = request->job_id,
+                                   .verb = request->verb,
+                                   .scope = scope,
+                                   .absence = MH_LOOKUP_UNKNOWN_JOB };
+  mh_job_lookup_ask (core->job_lookup, &lookup);
+}
+
 /* ---- submissions ---- */
 
 static MhJob *
@@ -65,32 +78,48 @@
                        mh_admission_name (admission), types_known ? "known" : "unknown");
 }
 
+static MhLookupAbsence
+get_absence (MhAdmission admission)
+{
+  switch (admission)
+    {
+    case MH_ADMISSION_TOO_LARGE:
+      return MH_LOOKUP_TOO_LARGE;
+    case MH_ADMISSION_IMPOSSIBLE:
+      return MH_LOOKUP_IMPOSSIBLE;
+    default:
+      return MH_LOOKUP_UNDECIDED;
+    }
+}
+
+/* A submission that would not be accepted now may be the repeated one of a job that was accepted
+   earlier, with other settings or machine types, and that has ended since. Such a job keeps its
+   state for ever: the final record is read before any response that denies it. */
+static void
+look_up_submission (MhCore *core, const MhUserRequest *request, MhAdmission admission,
+                    MhLookupScope scope)
+{
+  const MhLookupRequest lookup = { .id = request->id,
+                                   .job = request->job_id,
+                                   .verb = MH_USER_SUBMIT,
+                                   .scope = scope,
+                                   .absence = get_absence (admission) };
+  mh_job_lookup_ask (core->job_lookup, &lookup);
+}
+
 static void
 submit_new_job (MhCore *core, MhUserRequest *request)
 {
   const GPtrArray *types = mh_cluster_types (core->cluster);
-  mh_admission_keep_known_types (types, request->spec);
   MhAdmission admission = mh_admission_check (core->settings, types, request->spec);
   if (admission != MH_ADMISSION_ACCEPT)
-    log_not_accepted (core, request->job_id, admission);
-  switch (admission)
     {
-    case MH_ADMISSION_ACCEPT:
-      respond_when_durable (create_job (core, g_steal_pointer (&request->spec)), request);
-      break;
-    case MH_ADMISSION_IMPOSSIBLE:
-      /* An accepted job is never rejected later, even if changed settings make it impossible: the
-         lookup reads its final record before it rejects the submission. */
-      mh_job_lookup_ask (core->job_lookup, request->id, request->spec->id, MH_USER_SUBMIT,
-                         MH_LOOKUP_LEADER);
-      break;
-    case MH_ADMISSION_TOO_LARGE:
-      mh_runtime_respond_to_user (core->runtime, request->id, STATUS_BAD_REQUEST, 0);
-      break;
-    case MH_ADMISSION_UNDECIDED:
-      mh_runtime_respond_unavailable (core->runtime, request->id, MH_COUNTER_UNDECIDED);
-      break;
+      log_not_accepted (core, request->job_id, admission);
+      look_up_submission (core, request, admission, MH_LOOKUP_LEADER);
+      return;
     }
+  mh_admission_keep_known_types (types, request->spec);
+  respond_when_durable (create_job (core, g_steal_pointer (&request->spec)), request);
 }
 
 static void
@@ -144,18 +173,27 @@
                        g_strdup (request->job_id));
 }
 
-/* Whether a read of the stored records can answer the request while there is no leader. It can for
-   a status query, and for an impossible submission: that is rejected, unless its job was accepted
-   earlier. */
+/* False: only a leader can answer. While there is none, a status query is answered from the
+   records, and so is a submission that any leader with these settings would refuse: it is refused,
+   unless its job was accepted earlier. */
 static bool
-can_be_looked_up (const MhCore *core, const MhUserRequest *request)
+look_up_without_leader (MhCore *core, const MhUserRequest *request)
 {
   if (request->forwarded || mh_election_is_elected (core->election))
     return false;
-  return request->verb == MH_USER_STATUS
-         || (request->spec
-             && mh_admission_check (core->settings, mh_cluster_types (core->cluster), request->spec)
-                    == MH_ADMISSION_IMPOSSIBLE);
+  if (request->verb == MH_USER_STATUS)
+    {
+      look_up_state (core, request, MH_LOOKUP_LEADERLESS);
+      return true;
+    }
+  if (request->verb != MH_USER_SUBMIT)
+    return false;
+  MhAdmission admission
+      = mh_admission_check (core->settings, mh_cluster_types (core->cluster), request->spec);
+  if (admission != MH_ADMISSION_IMPOSSIBLE && admission != MH_ADMISSION_TOO_LARGE)
+    return false;
+  look_up_submission (core, request, admission, MH_LOOKUP_LEADERLESS);
+  return true;
 }
 
 static MhCounter
@@ -184,10 +222,7 @@
     respond_to_user (core, request->id, final_response);
   else if (!request->forwarded && mh_election_other_leader (core->election))
     forward_to_leader (core, request);
-  else if (can_be_looked_up (core, request))
-    mh_job_lookup_ask (core->job_lookup, request->id, request->job_id, request->verb,
-                       MH_LOOKUP_LEADERLESS);
-  else
+  else if (!look_up_without_leader (core, request))
     mh_runtime_respond_unavailable (core->runtime, request->id, get_unavailable_reason (core));
 }
 
@@ -209,8 +244,7 @@
      lookup reads the final record and answers from it, however long the write of the submission is
      delayed. */
   else if (job == NULL || !job->accepted)
-    mh_job_lookup_ask (core->job_lookup, request->id, request->job_id, request->verb,
-                       MH_LOOKUP_LEADER);
+    look_up_state (core, request, MH_LOOKUP_LEADER);
   else if (request->verb == MH_USER_STATUS)
     respond_with_job_state (core, request->id, job);
   else
--- a/src/storage/lookup.c
+++ b/src/storage/lookup.c
@@ -13,6 +13,15 @@
 /* The limit on queued reads is not lower than this, however low the rate limit is. */
 #define MIN_BACKLOG 8.0
 
+enum
+{
+  STATUS_OK = 200,
+  STATUS_BAD_REQUEST = 400,
+  STATUS_NOT_FOUND = 404,
+  STATUS_UNPROCESSABLE = 422,
+  STATUS_UNAVAILABLE = 503
+};
+
 /* The order of the reads without a leader: the job's first record, then the final one, because a
    job moves from the first to the second and never back; last, the leader key. The response is
    given only if there is no leader key. A leader that holds it may not know yet that its own last
@@ -39,8 +48,9 @@
 {
   MhJobLookup *lookup;
   char *job;
-  MhUserVerb verb;
+  MhCallClass call_class;
   MhLookupScope scope;
+  MhLookupAbsence absence;
   Stage stage;
   gint64 deadline_us;   /* of the current reads */
   MhUserResponse found; /* the response, if the reads that follow confirm it */
@@ -77,14 +87,30 @@
 
 /* ---- reads about one job ---- */
 
+/* A submission that cannot be decided yet is repeated, like a status query, until it can be. */
+static MhCallClass
+get_call_class (const MhLookupRequest *request)
+{
+  switch (request->verb)
+    {
+    case MH_USER_STATUS:
+      return MH_CALL_BACKGROUND;
+    case MH_USER_CANCEL:
+      return MH_CALL_SAFETY;
+    default:
+      return request->absence == MH_LOOKUP_UNDECIDED ? MH_CALL_BACKGROUND : MH_CALL_WORK;
+    }
+}
+
 static JobRead *
-job_read_new (MhJobLookup *lookup, const char *job, MhUserVerb verb, MhLookupScope scope)
+job_read_new (MhJobLookup *lookup, const MhLookupRequest *request)
 {
   JobRead *read = g_rc_box_new0 (JobRead);
   read->lookup = lookup;
-  read->job = g_strdup (job);
-  read->verb = verb;
-  read->scope = scope;
+  read->job = g_strdup (request->job);
+  read->call_class = get_call_class (request);
+  read->scope = request->scope;
+  read->absence = request->absence;
   read->request_ids = g_array_new (FALSE, FALSE, sizeof (guint64));
   read->next_request_ids = g_array_new (FALSE, FALSE, sizeof (guint64));
   return read;
@@ -103,11 +129,11 @@
 }
 
 static void
-respond_unavailable_to_all (const JobRead *read, GArray *request_ids)
+respond_unavailable_to_all (const JobRead *read, GArray *request_ids, MhCounter reason)
 {
   for (guint i = 0; i < request_ids->len; i++)
     mh_runtime_respond_unavailable (read->lookup->runtime, g_array_index (request_ids, guint64, i),
-                                    MH_COUNTER_LOOKUP_FAILED);
+                                    reason);
   g_array_set_size (request_ids, 0);
 }
 
@@ -118,8 +144,8 @@
 {
   JobRead *read = data;
   GHashTable *status_reads = read->lookup->status_reads;
-  respond_unavailable_to_all (read, read->request_ids);
-  respond_unavailable_to_all (read, read->next_request_ids);
+  respond_unavailable_to_all (read, read->request_ids, MH_COUNTER_LOOKUP_FAILED);
+  respond_unavailable_to_all (read, read->next_request_ids, MH_COUNTER_LOOKUP_FAILED);
   if (g_hash_table_lookup (status_reads, read->job) == read)
     g_hash_table_remove (status_reads, read->job);
   g_array_unref (read->request_ids);
@@ -147,20 +173,6 @@
     }
 }
 
-static MhCallClass
-get_call_class (MhUserVerb verb)
-{
-  switch (verb)
-    {
-    case MH_USER_STATUS:
-      return MH_CALL_BACKGROUND;
-    case MH_USER_CANCEL:
-      return MH_CALL_SAFETY;
-    default:
-      return MH_CALL_WORK;
-    }
-}
-
 static void
 on_entry (gpointer owner, gpointer data, const MhCallResponse *response);
 
@@ -170,7 +182,7 @@
 {
   read->stage = stage;
   g_autofree char *key = get_stage_key (stage, read->job);
-  const MhCallOptions options = { .class = get_call_class (read->verb),
+  const MhCallOptions options = { .class = read->call_class,
                                   .timeout_us = READS_TIMEOUT_US,
                                   .deadline_us = read->deadline_us,
                                   .func = on_entry,
@@ -187,15 +199,17 @@
   read_stage (read, read->scope == MH_LOOKUP_LEADER ? READ_FINAL : READ_RUNNING);
 }
 
-/* Answers the requests, with 503 if `response` is NULL, and starts new reads for all requests that
-   came after these reads began. */
+/* Answers the requests, and starts new reads for all requests that came after these reads began.
+   `response`: NULL: the reads failed, or proved nothing. */
 static void
 finish_reads (JobRead *read, const MhUserResponse *response)
 {
-  if (response)
-    respond_to_all (read, read->request_ids, response);
+  if (response == NULL)
+    respond_unavailable_to_all (read, read->request_ids, MH_COUNTER_LOOKUP_FAILED);
+  else if (response->status == STATUS_UNAVAILABLE)
+    respond_unavailable_to_all (read, read->request_ids, MH_COUNTER_UNDECIDED);
   else
-    respond_unavailable_to_all (read, read->request_ids);
+    respond_to_all (read, read->request_ids, response);
   if (read->next_request_ids->len == 0)
     return;
   GArray *empty = read->request_ids;
@@ -212,24 +226,42 @@
   g_auto (MhStoredJob) stored = {};
   if (!mh_record_read_job (entry->value, read->job, &stored, NULL))
     return false;
-  read->found = (MhUserResponse){ .status = 200,
+  read->found = (MhUserResponse){ .status = STATUS_OK,
                                   .state = stored.cancelled ? MH_JOB_CANCELLED : MH_JOB_PENDING };
   return true;
 }
 
+static guint
+get_absence_status (MhLookupAbsence absence)
+{
+  switch (absence)
+    {
+    case MH_LOOKUP_UNKNOWN_JOB:
+      return STATUS_NOT_FOUND;
+    case MH_LOOKUP_IMPOSSIBLE:
+      return STATUS_UNPROCESSABLE;
+    case MH_LOOKUP_TOO_LARGE:
+      return STATUS_BAD_REQUEST;
+    case MH_LOOKUP_UNDECIDED:
+      return STATUS_UNAVAILABLE;
+    }
+  g_return_val_if_reached (STATUS_UNAVAILABLE);
+}
+
 /* Stores what the user gets according to the store's response in `read->found`. False: the request
    failed, or the record cannot be decoded. */
 static bool
 decode_found (JobRead *read, const MhCallResponse *response)
 {
-  if (response->status == 404)
+  if (response->status == STATUS_NOT_FOUND)
     {
-      /* A submission is looked up only if its job can never run. Without a record its job was
-         never accepted, and the submission is refused. */
-      read->found = (MhUserResponse){ .status = read->verb == MH_USER_SUBMIT ? 422 : 404 };
+      /* A submission is looked up only if it is not accepted. Without a record its job never was,
+         and the response is the one that a new job gets. */
+      read->found = (MhUserResponse){ .status = get_absence_status (read->absence) };
       return true;
     }
-  MhKvEntry *entry = response->status == 200 ? mh_kv_entry_decode (response->body, NULL) : NULL;
+  MhKvEntry *entry
+      = response->status == STATUS_OK ? mh_kv_entry_decode (response->body, NULL) : NULL;
   if (entry == NULL)
     return false;
   bool is_decoded = read->stage == READ_FINAL
@@ -259,12 +291,12 @@
   (void)owner;
   JobRead *read = data;
   if (read->stage == READ_LEADER)
-    finish_reads (read, response->status == 404 ? &read->found : NULL);
+    finish_reads (read, response->status == STATUS_NOT_FOUND ? &read->found : NULL);
   else if (!decode_found (read, response))
     finish_reads (read, NULL);
   else if (read->scope == MH_LOOKUP_LEADER)
-    respond_as_leader (read, response->status == 200);
-  else if (response->status == 404 && read->stage == READ_RUNNING)
+    respond_as_leader (read, response->status == STATUS_OK);
+  else if (response->status == STATUS_NOT_FOUND && read->stage == READ_RUNNING)
     read_stage (read, READ_FINAL);
   else
     read_stage (read, READ_LEADER);
@@ -272,7 +304,7 @@
 
 /* ---- requests ---- */
 
-/* Status queries use only the capacity of the store that other calls leave. True: further ones
+/* Background reads use only the capacity of the store that other calls leave. True: further ones
    would wait too long, and are answered 503 at once. */
 static bool
 is_backlog_full (const MhJobLookup *lookup)
@@ -283,25 +315,31 @@
   return backlog.waiting >= MAX (MIN_BACKLOG, max_waiting);
 }
 
+/* False: no reads about the job are under way that also answer this status query. */
+static bool
+join_status_read (MhJobLookup *lookup, const MhLookupRequest *request)
+{
+  JobRead *read = g_hash_table_lookup (lookup->status_reads, request->job);
+  if (read == NULL || read->scope != request->scope)
+    return false;
+  g_array_append_val (read->next_request_ids, request->id);
+  return true;
+}
+
 void
-mh_job_lookup_ask (MhJobLookup *lookup, guint64 request_id, const char *job, MhUserVerb verb,
-                   MhLookupScope scope)
+mh_job_lookup_ask (MhJobLookup *lookup, const MhLookupRequest *request)
 {
-  g_return_if_fail (lookup && job);
-  bool is_shared = verb == MH_USER_STATUS;
-  JobRead *read = is_shared ? g_hash_table_lookup (lookup->status_reads, job) : NULL;
-  if (read && read->scope == scope)
-    {
-      g_array_append_val (read->next_request_ids, request_id);
-      return;
-    }
-  if (is_shared && is_backlog_full (lookup))
+  g_return_if_fail (lookup && request && request->job);
+  bool is_shared = request->verb == MH_USER_STATUS;
+  if (is_shared && join_status_read (lookup, request))
+    return;
+  if (get_call_class (request) == MH_CALL_BACKGROUND && is_backlog_full (lookup))
     {
-      mh_runtime_respond_unavailable (lookup->runtime, request_id, MH_COUNTER_LOOKUP_BACKLOG);
+      mh_runtime_respond_unavailable (lookup->runtime, request->id, MH_COUNTER_LOOKUP_BACKLOG);
       return;
     }
-  read = job_read_new (lookup, job, verb, scope);
-  g_array_append_val (read->request_ids, request_id);
+  JobRead *read = job_read_new (lookup, request);
+  g_array_append_val (read->request_ids, request->id);
   if (is_shared)
     g_hash_table_replace (lookup->status_reads, read->job, read);
   start_reads (read);
--- a/src/storage/lookup.h
+++ b/src/storage/lookup.h
@@ -4,7 +4,7 @@
    A user gets the response that a job is unknown only if its records are absent and no controller
    can be writing them. Status queries about the same job share their reads. If more reads are
    queued than this controller may send in a second, further status queries are answered 503 at
-   once. */
+   once, and so are submissions that would get 503 if their job had no record. */
 #pragma once
 
 #include "jobs/job.h"
@@ -66,16 +66,48 @@
 } MhLookupScope;
 
 /**
- * mh_job_lookup_ask:
- * @lookup: a lookup
- * @request_id: the id of the user's request
+ * MhLookupAbsence:
+ * @MH_LOOKUP_UNKNOWN_JOB: 404: the job is not known
+ * @MH_LOOKUP_IMPOSSIBLE: 422: a submission of a job that can never run
+ * @MH_LOOKUP_TOO_LARGE: 400: a submission whose record would be too large
+ * @MH_LOOKUP_UNDECIDED: 503: a submission that can be neither accepted nor refused yet
+ *
+ * What the user gets if the job has no record, so that it was never accepted.
+ */
+typedef enum
+{
+  MH_LOOKUP_UNKNOWN_JOB,
+  MH_LOOKUP_IMPOSSIBLE,
+  MH_LOOKUP_TOO_LARGE,
+  MH_LOOKUP_UNDECIDED
+} MhLookupAbsence;
+
+/**
+ * MhLookupRequest:
+ * @id: the id of the user's request
  * @job: the id of the job that the request is about
  * @verb: what the user requests
  * @scope: which records the response requires
+ * @absence: the response if there are none
+ *
+ * A user's request that is answered from the records.
+ */
+typedef struct
+{
+  guint64 id;
+  const char *job;
+  MhUserVerb verb;
+  MhLookupScope scope;
+  MhLookupAbsence absence;
+} MhLookupRequest;
+
+/**
+ * mh_job_lookup_ask:
+ * @lookup: a lookup
+ * @request: the request
  *
  * Reads the records of the job, and responds to the request when they are read. Responds at once if
  * too many reads are queued.
  */
 void
-mh_job_lookup_ask (MhJobLookup *lookup, guint64 request_id, const char *job, MhUserVerb verb,
-                   MhLookupScope scope);
+mh_job_lookup_ask (MhJobLookup *lookup, const MhLookupRequest *request);
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -128,6 +128,34 @@
   g_assert_cmpint (check (fixture), ==, MH_ADMISSION_ACCEPT);
 }
 
+static void
+allow_many_types (MhJobSpec *spec)
+{
+  g_autoptr (GStrvBuilder) types = g_strv_builder_new ();
+  for (guint i = 0; i < 1000; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("unknown-%u", i);
+      g_strv_builder_add (types, name);
+    }
+  g_strv_builder_add (types, "small");
+  spec->types = g_strv_builder_end (types);
+}
+
+/* A long list of allowed types made a submission too large, for which 400 is final, while the
+   machine types were not known. Only the known ones are recorded, so that it cannot be decided. */
+static void
+test_many_types (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  allow_many_types (fixture->spec);
+  g_assert_cmpint (mh_admission_check (fixture->settings, NULL, fixture->spec), ==,
+                   MH_ADMISSION_UNDECIDED);
+  g_assert_cmpint (check (fixture), ==, MH_ADMISSION_ACCEPT);
+  fixture->settings->value_bytes = 64; /* too small even without the list */
+  g_assert_cmpint (mh_admission_check (fixture->settings, NULL, fixture->spec), ==,
+                   MH_ADMISSION_TOO_LARGE);
+}
+
 #define ADD(name, test) g_test_add ("/admission/" name, Fixture, NULL, set_up, test, tear_down)
 
 int
@@ -139,5 +167,6 @@
   ADD ("undecided-without-types", test_undecided_without_types);
   ADD ("too-large-for-a-value", test_too_large_for_a_value);
   ADD ("unknown-types-are-dropped", test_unknown_types_are_dropped);
+  ADD ("many-types", test_many_types);
   return g_test_run ();
 }
