Answer a submission that the store refuses from the job's final record

What callers would see: where the key-value store takes shorter values than the settings say, the repeated submission of a job that is done gets 503 with Retry-After 30 each time, until its user gives up, where 200 with its state is due.

Cause: the store refuses a value that is too large before it looks at the condition that the job has no final record, and reject_record answered all who waited without reading that record.

Evidence: /repeated-requests/ended-job-refused-by-store got 503 for 200 before, with the log line "record refused by the key-value store ... outcome=job_not_accepted".

Change: the record writer hands those who wait for a submission over, and the controller looks the job up like any other submission that it does not accept. Without a final record the answer stays 503 with 30 s.

--- a/src/controller/storage-callbacks.c
+++ b/src/controller/storage-callbacks.c
@@ -22,6 +22,22 @@
   mh_final_state_cache_add (core->final_states, job->spec->id, response);
 }
 
+/* The job may be one that has ended, submitted again: its users get its final state. */
+static void
+on_submission_refused (gpointer owner, const MhJob *job)
+{
+  MhCore *core = owner;
+  for (guint i = 0; i < job->waiters->len; i++)
+    {
+      const MhLookupRequest request = { .id = g_array_index (job->waiters, MhWaiter, i).id,
+                                        .job = job->spec->id,
+                                        .verb = MH_USER_SUBMIT,
+                                        .scope = MH_LOOKUP_LEADER,
+                                        .absence = MH_LOOKUP_REFUSED_BY_STORE };
+      mh_job_lookup_ask (core->job_lookup, &request);
+    }
+}
+
 /* Attempts of these tasks may have become durable: sends the starts that waited for that. */
 static void
 on_attempts_recorded (gpointer owner, MhJob *job, guint first_task, guint end_task)
@@ -54,12 +70,14 @@
   return attempt->machine->name;
 }
 
-static const MhRecordWriterCallbacks writer_callbacks = { .job_accepted = on_job_accepted,
-                                                          .job_ended = on_job_ended,
-                                                          .attempts_recorded = on_attempts_recorded,
-                                                          .job_rechunked = on_job_rechunked,
-                                                          .leadership_lost = on_leadership_lost,
-                                                          .machine_name = machine_name };
+static const MhRecordWriterCallbacks writer_callbacks
+    = { .job_accepted = on_job_accepted,
+        .job_ended = on_job_ended,
+        .submission_refused = on_submission_refused,
+        .attempts_recorded = on_attempts_recorded,
+        .job_rechunked = on_job_rechunked,
+        .leadership_lost = on_leadership_lost,
+        .machine_name = machine_name };
 
 /* ---- record loader ---- */
 
--- a/src/storage/lookup.c
+++ b/src/storage/lookup.c
@@ -1,6 +1,7 @@
 #include "storage/lookup.h"
 
 #include "election/leader-record.h"
+#include "storage/record-writer.h"
 #include "storage/record.h"
 #include "protocol/key-value-messages.h"
 
@@ -206,7 +207,7 @@
 {
   if (response == NULL)
     respond_unavailable_to_all (read, read->request_ids, MH_COUNTER_LOOKUP_FAILED);
-  else if (response->status == STATUS_UNAVAILABLE)
+  else if (response->status == STATUS_UNAVAILABLE && read->absence == MH_LOOKUP_UNDECIDED)
     respond_unavailable_to_all (read, read->request_ids, MH_COUNTER_UNDECIDED);
   else
     respond_to_all (read, read->request_ids, response);
@@ -231,21 +232,24 @@
   return true;
 }
 
-static guint
-get_absence_status (MhLookupAbsence absence)
+static MhUserResponse
+get_absence_response (MhLookupAbsence absence)
 {
   switch (absence)
     {
     case MH_LOOKUP_UNKNOWN_JOB:
-      return STATUS_NOT_FOUND;
+      return (MhUserResponse){ .status = STATUS_NOT_FOUND };
     case MH_LOOKUP_IMPOSSIBLE:
-      return STATUS_UNPROCESSABLE;
+      return (MhUserResponse){ .status = STATUS_UNPROCESSABLE };
     case MH_LOOKUP_TOO_LARGE:
-      return STATUS_BAD_REQUEST;
+      return (MhUserResponse){ .status = STATUS_BAD_REQUEST };
     case MH_LOOKUP_UNDECIDED:
-      return STATUS_UNAVAILABLE;
+      return (MhUserResponse){ .status = STATUS_UNAVAILABLE };
+    case MH_LOOKUP_REFUSED_BY_STORE:
+      return (MhUserResponse){ .status = STATUS_UNAVAILABLE,
+                               .retry_after_s = MH_REFUSED_RECORD_RETRY_S };
     }
-  g_return_val_if_reached (STATUS_UNAVAILABLE);
+  g_return_val_if_reached ((MhUserResponse){ .status = STATUS_UNAVAILABLE });
 }
 
 /* Stores what the user gets according to the store's response in `read->found`. False: the request
@@ -257,7 +261,7 @@
     {
       /* A submission is looked up only if it is not accepted. Without a record its job never was,
          and the response is the one that a new job gets. */
-      read->found = (MhUserResponse){ .status = get_absence_status (read->absence) };
+      read->found = get_absence_response (read->absence);
       return true;
     }
   MhKvEntry *entry
--- a/src/storage/record-writer.h
+++ b/src/storage/record-writer.h
@@ -15,11 +15,17 @@
 /** MhRecordWriter: the queue of records to be written */
 typedef struct MhRecordWriter MhRecordWriter;
 
+/** MH_REFUSED_RECORD_RETRY_S: how long a record that the store refused as malformed or too large
+ * waits before it is written again, in seconds; users get the same time as Retry-After */
+#define MH_REFUSED_RECORD_RETRY_S 30u
+
 /**
  * MhRecordWriterCallbacks:
  * @job_accepted: the first record of the job is durable for the first time: its tasks may be placed
  * @job_ended: the final record of the job is durable; `response` is what its users get. The job is
  * freed after the call
+ * @submission_refused: the store refuses the first record of a job that is not accepted. The
+ * waiters of the job must be answered by others: it may have ended long ago, with a final record
  * @attempts_recorded: attempts of the tasks from `first_task` up to but excluding `end_task` may
  * have become durable: the starts of those that are may be sent
  * @job_rechunked: all records of the job have become durable in a new layout
@@ -33,6 +39,7 @@
 {
   void (*job_accepted) (gpointer owner, MhJob *job);
   void (*job_ended) (gpointer owner, const MhJob *job, const MhUserResponse *response);
+  void (*submission_refused) (gpointer owner, const MhJob *job);
   void (*attempts_recorded) (gpointer owner, MhJob *job, guint first_task, guint end_task);
   void (*job_rechunked) (gpointer owner, MhJob *job);
   void (*leadership_lost) (gpointer owner, MhLossReason reason);
--- a/src/storage/write-outcome.c
+++ b/src/storage/write-outcome.c
@@ -8,9 +8,6 @@
 #include <string.h>
 
 #define READ_TIMEOUT_US MH_SECOND_US
-/* How long a record that the store refused as malformed or too large waits before it is written
-   again; users get the same time as Retry-After. */
-#define REFUSED_RECORD_RETRY_US (30 * MH_SECOND_US)
 
 static MhRecordWrite *
 get_write (const MhSentBatch *sent, guint index)
@@ -331,6 +328,21 @@
 
 /* ---- refused transactions ---- */
 
+/* The waiters of a job that is not accepted have submitted it. It may be one that has ended. */
+static void
+respond_to_refused_waiters (MhRecordWriter *writer, MhJob *job)
+{
+  const MhUserResponse retry_response
+      = { .status = 503, .retry_after_s = MH_REFUSED_RECORD_RETRY_S };
+  if (job->accepted)
+    {
+      respond_to_all_waiters (writer, job, &retry_response);
+      return;
+    }
+  writer->callbacks->submission_refused (writer->owner, job);
+  g_array_set_size (job->waiters, 0);
+}
+
 /* A submission that the store refuses is not accepted, and its job is removed. A job that was
    accepted earlier, under other limits, or that an earlier request may have stored keeps its stored
    records; the refused record is written again later. */
@@ -344,15 +356,14 @@
       "record refused by the key-value store job=%s record=%u reason=malformed_or_too_large"
       " outcome=%s",
       job->spec->id, record->chunk, accepted ? "retried_later" : "job_not_accepted");
-  const MhUserResponse retry_response
-      = { .status = 503, .retry_after_s = (guint)(REFUSED_RECORD_RETRY_US / MH_SECOND_US) };
-  respond_to_all_waiters (writer, job, &retry_response);
+  respond_to_refused_waiters (writer, job);
   if (!accepted)
     {
       mh_record_writer_remove_job (writer, job);
       return;
     }
-  record->refused_until_us = mh_runtime_now_us (writer->runtime) + REFUSED_RECORD_RETRY_US;
+  record->refused_until_us
+      = mh_runtime_now_us (writer->runtime) + MH_REFUSED_RECORD_RETRY_S * MH_SECOND_US;
   mh_record_writer_apply_event (writer, record, MH_RECORD_REJECTED, MH_URGENCY_START);
 }
 
