--- a/tests/production/production-core.c
+++ b/tests/production/production-core.c
@@ -174,3 +174,15 @@
 {
   return mh_core_leads (self->core);
 }
+
+bool
+production_reads_submission (GBytes *submission)
+{
+  gsize size;
+  const void *data = g_bytes_get_data (submission, &size);
+  g_autoptr (MhValue) value = mh_value_load (data, size);
+  MhJobSpec *spec = value ? mh_wire_read_submission (value) : NULL;
+  bool is_read = spec != NULL;
+  mh_job_spec_free (spec);
+  return is_read;
+}
--- a/tests/production/production-core.h
+++ b/tests/production/production-core.h
@@ -85,3 +85,6 @@
 production_core_ready (const ProductionCore *core);
 PRODUCTION_PUBLIC bool
 production_core_leads (const ProductionCore *core);
+/* Whether that version can read a submission. `submission`: CBOR. */
+PRODUCTION_PUBLIC bool
+production_reads_submission (GBytes *submission);
