End a back-off when a task has run for a while, for every shape of job

Cause: while a job backs off one of its tasks may be live, and the back-off ended only with a task that is done, which a replica never is. Arrays waited for their first task however long it ran, and gangs kept the level in their record.

Change: each report of a running task is looked at. After 30 s the back-off ends and its level leaves the record; from 5 s on, for each task that was started since the last failure, another one may be live, so that a job whose tasks fail only after a while does not fill the room. A failure of a job that backs off always counts. The longest wait is 32 s instead of 64: with the 30 s it must stay within the 90 s for which a job may be left waiting. The check "kept waiting" takes in services, within the zone rule: a zone that has the fewest of their replicas must be open to them.

--- a/src/cluster/reconcile.c
+++ b/src/cluster/reconcile.c
@@ -135,7 +135,9 @@
   mh_attempt_note_reported (cluster, attempt, status->phase);
   if (is_image_cached (status))
     mh_machine_add_image (attempt->machine, job->image, job->spec->image_gb);
-  if (status->phase == MH_TASK_PHASE_ENDED)
+  if (status->phase == MH_TASK_PHASE_RUNNING)
+    mh_task_failure_note_running (cluster, attempt);
+  else if (status->phase == MH_TASK_PHASE_ENDED)
     handle_attempt_ended (cluster, attempt, status->end_reason);
 }
 
--- a/src/cluster/task-failure.c
+++ b/src/cluster/task-failure.c
@@ -16,10 +16,15 @@
 #define FAULTY_MACHINE_THRESHOLD 2u
 /* A task that has run this long shows that its job is not faulty. */
 #define MIN_HEALTHY_RUN_US (5 * MH_SECOND_US)
+/* A job of which a task has run this long has recovered, and backs off no more. */
+#define RECOVERED_RUN_US (30 * MH_SECOND_US)
+/* While a job backs off, this many of its tasks may be live for each one that runs well. */
+#define LIVE_PER_HEALTHY_TASK 2u
 /* The first wait of the back-off. Each level doubles the wait of the one before, up to
-   MAX_BACK_OFF_LEVEL. */
+   MAX_BACK_OFF_LEVEL. The longest wait and RECOVERED_RUN_US end within the 90 s for which a job may
+   be left waiting while there is room. */
 #define FIRST_BACK_OFF_US (2 * MH_SECOND_US)
-#define MAX_BACK_OFF_LEVEL 6u
+#define MAX_BACK_OFF_LEVEL 5u
 /* Limits the list of jobs that failed on a machine and are not known to run elsewhere. */
 #define MAX_FAILED_JOBS 16u
 /* Width of the random variation of a wait, as a fraction of it, so that jobs that were submitted
@@ -37,9 +42,12 @@
   guint pending = mh_job_pending_tasks (job);
   if (!mh_job_backs_off (job))
     return pending;
-  if (mh_runtime_now_us (cluster->runtime) < job->placement.retry_after_us || job->n_live)
+  if (mh_runtime_now_us (cluster->runtime) < job->placement.retry_after_us)
     return 0;
-  return mh_job_is_gang (job) ? pending : MIN (pending, 1);
+  if (mh_job_is_gang (job))
+    return job->n_live ? 0 : pending;
+  guint max_live = MAX (job->failures.max_live_tasks, 1);
+  return job->n_live < max_live ? MIN (pending, max_live - job->n_live) : 0;
 }
 
 guint
@@ -53,6 +61,13 @@
 
 /* ---- jobs ---- */
 
+static bool
+has_run_for (const MhCluster *cluster, const MhAttempt *attempt, gint64 duration_us)
+{
+  return attempt->running_since_us
+         && mh_runtime_now_us (cluster->runtime) - attempt->running_since_us >= duration_us;
+}
+
 static bool
 is_running_well (const MhCluster *cluster, const MhJob *job)
 {
@@ -61,8 +76,7 @@
   for (guint i = 0; i < job->spec->tasks && job->n_running; i++)
     {
       const MhAttempt *attempt = job->tasks[i].live;
-      if (attempt && attempt->running_since_us
-          && mh_runtime_now_us (cluster->runtime) - attempt->running_since_us >= MIN_HEALTHY_RUN_US)
+      if (attempt && has_run_for (cluster, attempt, MIN_HEALTHY_RUN_US))
         return true;
     }
   return false;
@@ -120,6 +134,7 @@
 {
   bool first = !mh_job_backs_off (job);
   job->failures.back_off_level = MIN (job->failures.back_off_level + 1, MAX_BACK_OFF_LEVEL);
+  job->failures.max_live_tasks = 0;
   schedule_retry (cluster, job);
   mh_record_writer_mark_changed (cluster->record_writer, &job->records[0], MH_URGENCY_PROGRESS);
   mh_log_info (cluster->runtime, "job backs off, fails wherever it starts job=%s next_start_s=%.0f",
@@ -210,7 +225,7 @@
   if (mh_job_backs_off (job)
       && mh_runtime_now_us (cluster->runtime) < job->placement.retry_after_us)
     return;
-  if (!is_running_well (cluster, job))
+  if (mh_job_backs_off (job) || !is_running_well (cluster, job))
     {
       count_failure (cluster, job, machine->name);
       if (is_failing_everywhere (job))
@@ -220,16 +235,16 @@
     attribute_to_machine (cluster, machine, job);
 }
 
-void
-mh_task_failure_record_success (MhCluster *cluster, MhMachine *machine, MhJob *job)
+/* The job can run: it backs off no more, and its earlier failures were the fault of their machines.
+ */
+static void
+forget_failures (MhCluster *cluster, MhJob *job)
 {
   if (mh_job_backs_off (job))
     {
       mh_log_info (cluster->runtime, "job runs after back-off job=%s", job->spec->id);
       mh_record_writer_mark_changed (cluster->record_writer, &job->records[0], MH_URGENCY_PROGRESS);
     }
-  machine->failures.consecutive = 0;
-  g_ptr_array_set_size (machine->failures.jobs, 0);
   for (guint i = 0; job->failures.machines && i < job->failures.machines->len; i++)
     {
       const char *name = g_ptr_array_index (job->failures.machines, i);
@@ -239,3 +254,62 @@
     }
   mh_job_failures_clear (&job->failures);
 }
+
+void
+mh_task_failure_record_success (MhCluster *cluster, MhMachine *machine, MhJob *job)
+{
+  machine->failures.consecutive = 0;
+  g_ptr_array_set_size (machine->failures.jobs, 0);
+  forget_failures (cluster, job);
+}
+
+/* ---- recovery of jobs that back off ---- */
+
+/* The job runs on the machine: it does not show that the machine is faulty. */
+static void
+remove_failed_job (MhMachine *machine, const char *job)
+{
+  GPtrArray *jobs = machine->failures.jobs;
+  for (guint i = jobs->len; i-- > 0;)
+    if (strcmp (g_ptr_array_index (jobs, i), job) == 0)
+      g_ptr_array_remove_index (jobs, i);
+}
+
+/* Whether the attempt is a retry that runs well. One that has run since before the last failure may
+   fail like the others. */
+static bool
+is_healthy_retry (const MhCluster *cluster, const MhAttempt *attempt)
+{
+  return has_run_for (cluster, attempt, MIN_HEALTHY_RUN_US)
+         && attempt->running_since_us >= attempt->job->placement.retry_after_us;
+}
+
+/* The more tasks run well, the more may be tried, so that a job whose tasks fail only after a while
+   does not occupy all the room until then. */
+static void
+raise_live_tasks (const MhCluster *cluster, MhJob *job)
+{
+  guint healthy = 0;
+  for (guint i = 0; i < job->spec->tasks; i++)
+    healthy += job->tasks[i].live && is_healthy_retry (cluster, job->tasks[i].live);
+  job->failures.max_live_tasks
+      = MAX (job->failures.max_live_tasks, LIVE_PER_HEALTHY_TASK * healthy);
+}
+
+void
+mh_task_failure_note_running (MhCluster *cluster, const MhAttempt *attempt)
+{
+  MhJob *job = attempt->job;
+  if (!mh_job_backs_off (job))
+    return;
+  if (has_run_for (cluster, attempt, RECOVERED_RUN_US))
+    {
+      remove_failed_job (attempt->machine, job->spec->id);
+      forget_failures (cluster, job);
+    }
+  else if (is_healthy_retry (cluster, attempt))
+    raise_live_tasks (cluster, job);
+  else
+    return;
+  cluster->callbacks->capacity_changed (cluster->owner, job->spec->shape == MH_SHAPE_SERVICE);
+}
--- a/src/cluster/task-failure.h
+++ b/src/cluster/task-failure.h
@@ -3,7 +3,9 @@
 
    A job that has failed several times, on different machines or after a while, and has not
    succeeded, backs off: one of its tasks is started at a time, after exponentially growing waits,
-   and its failures count against no machine, unless they all happened on a single one. A machine
+   and its failures count against no machine, unless they all happened on a single one. For each
+   task that then runs for a few seconds another one may be started, and the back-off ends when a
+   task has completed, or has run for half a minute: replicas of a service never complete. A machine
    that keeps failing tasks of other jobs is released. The back-off level is part of the job's first
    record, so that a new leader continues with it. */
 #pragma once
@@ -35,6 +37,18 @@
 void
 mh_task_failure_record_success (MhCluster *cluster, MhMachine *machine, MhJob *job);
 
+/**
+ * mh_task_failure_note_running:
+ * @cluster: the cluster
+ * @attempt: an attempt that its worker reports as running
+ *
+ * To be called for each such report. Ends the back-off of the job, or allows more of its tasks to
+ * be started, when the attempt has run for long enough. May release machines on which the job
+ * failed.
+ */
+void
+mh_task_failure_note_running (MhCluster *cluster, const MhAttempt *attempt);
+
 /**
  * mh_task_failure_load_back_off:
  * @cluster: the cluster
--- a/tests/stand-in/key-value-store.c
+++ b/tests/stand-in/key-value-store.c
@@ -224,6 +224,13 @@
   end_watches (store, ended);
 }
 
+const MhValue *
+key_value_store_get_value (const KeyValueStore *store, const char *name)
+{
+  const StoredKey *key = g_tree_lookup (store->keys, name);
+  return key ? key->value : NULL;
+}
+
 /* ---- description ---- */
 
 static void
--- a/tests/stand-in/key-value-store.h
+++ b/tests/stand-in/key-value-store.h
@@ -93,6 +93,10 @@
 /** key_value_store_watch_token: Returns: the token of the waiting watch with that index */
 gpointer
 key_value_store_watch_token (const KeyValueStore *store, guint index);
+/** key_value_store_get_value: Returns: (transfer none) (nullable): the value of the key; %NULL:
+ * there is no such key */
+const MhValue *
+key_value_store_get_value (const KeyValueStore *store, const char *name);
 /** key_value_store_corrupt: Replaces the value of the key by one that no version writes. */
 void
 key_value_store_corrupt (KeyValueStore *store, const char *name);
--- a/tests/stand-in/rule-checks.c
+++ b/tests/stand-in/rule-checks.c
@@ -163,11 +163,45 @@
          && team_cpus + spec->cpus <= team->cpus_max + QUOTA_TOLERANCE;
 }
 
+static bool
+is_up (const Machine *machine)
+{
+  return machine->running && !machine->removed && !machine->failed;
+}
+
 static bool
 is_usable (const RuleChecks *rules, const Machine *machine)
 {
-  return machine->running && !machine->removed && !machine->failed && !machine->fails_all_tasks
-         && rules->now_us >= machine->hung_until_us;
+  return is_up (machine) && !machine->fails_all_tasks && rules->now_us >= machine->hung_until_us;
+}
+
+static guint
+count_placed_in_zone (const RuleChecks *rules, const WorkloadJob *job, const char *zone)
+{
+  guint count = 0;
+  for (guint i = 0; i < rules->machines->len; i++)
+    {
+      const Machine *machine = g_ptr_array_index (rules->machines, i);
+      if (is_up (machine) && strcmp (machine->zone, zone) == 0)
+        count += count_placed_tasks (machine, job);
+    }
+  return count;
+}
+
+/* Replicas of a service may go to a zone that has the fewest of them, whatever the maximum skew. */
+static bool
+is_zone_open (const RuleChecks *rules, const WorkloadJob *job, const char *zone)
+{
+  if (job->spec->shape != MH_SHAPE_SERVICE)
+    return true;
+  guint count = count_placed_in_zone (rules, job, zone);
+  for (guint i = 0; i < rules->machines->len; i++)
+    {
+      const Machine *machine = g_ptr_array_index (rules->machines, i);
+      if (is_up (machine) && count_placed_in_zone (rules, job, machine->zone) < count)
+        return false;
+    }
+  return true;
 }
 
 /* Returns whether a task of the job could start now, whatever its other tasks do. */
@@ -180,19 +214,20 @@
     {
       const Machine *machine = g_ptr_array_index (rules->machines, i);
       if (is_usable (rules, machine) && machine_allowed (machine, job->spec)
-          && machine_has_room (machine, rules->workload, job->spec))
+          && machine_has_room (machine, rules->workload, job->spec)
+          && is_zone_open (rules, job, machine->zone))
         return true;
     }
   return false;
 }
 
-/* Returns whether the job waits although it could run. Excludes jobs whose possible zones depend on
-   their other tasks, and services, which are spread. */
+/* Returns whether the job waits although it could run. Excludes gangs, and jobs whose possible
+   zones depend on their other tasks in other ways than those of services do. */
 static bool
 must_not_keep_waiting (const RuleChecks *rules, const WorkloadJob *job)
 {
   const MhJobSpec *spec = job->spec;
-  return spec->shape == MH_SHAPE_ARRAY && !spec->single_zone && !spec->spread_over_zones
+  return spec->shape != MH_SHAPE_GANG && !spec->single_zone && !spec->spread_over_zones
          && job->accepted && !job->cancel_confirmed_us && could_start_a_task (rules, job);
 }
 
--- a/tests/stand-in/worker-runtime.c
+++ b/tests/stand-in/worker-runtime.c
@@ -161,6 +161,16 @@
   machine->lease_start_us = runtime->now_us;
 }
 
+static bool
+is_failing (const Machine *machine, const MachineTask *task, gint64 now_us)
+{
+  const WorkloadJob *job = task->workload_job;
+  if (machine->fails_all_tasks)
+    return now_us >= task->ready_us + FAILURE_DELAY_US;
+  return job && job->always_fails
+         && now_us >= task->ready_us + MAX (job->fails_after_us, FAILURE_DELAY_US);
+}
+
 static void
 advance_task (const WorkerRuntime *runtime, Machine *machine, MachineTask *task)
 {
@@ -172,9 +182,7 @@
       task->phase = gang ? MH_TASK_PHASE_WAITING_FOR_GANG : MH_TASK_PHASE_RUNNING;
       g_hash_table_add (machine->cached_images, g_strdup (job->spec->image));
     }
-  if (task->phase == MH_TASK_PHASE_RUNNING
-      && (machine->fails_all_tasks || (job && job->always_fails))
-      && now_us >= task->ready_us + FAILURE_DELAY_US)
+  if (task->phase == MH_TASK_PHASE_RUNNING && is_failing (machine, task, now_us))
     end_task (task, "error");
   if (task->phase == MH_TASK_PHASE_WAITING_FOR_GANG
       && now_us > task->ready_us + runtime->settings->gang_wait_us)
--- a/tests/stand-in/workload.h
+++ b/tests/stand-in/workload.h
@@ -12,6 +12,7 @@
  * @cancel_confirmed_us: when a response first reported the job as cancelled; 0: not yet
  * @accepted: a response has accepted the job
  * @always_fails: its tasks fail on every machine, because of a mistake in the submission
+ * @fails_after_us: if @always_fails: how long its tasks run before that; 0: a moment
  * @running_attempt: of a gang: the attempt whose tasks run; 0: none
  * @saved_progress_us: of a gang: the progress that its last checkpoint holds
  * @running_since_us: of a gang: when @running_attempt began to run
@@ -30,6 +31,7 @@
   gint64 cancel_confirmed_us;
   bool accepted;
   bool always_fails;
+  gint64 fails_after_us;
   guint64 running_attempt;
   gint64 saved_progress_us;
   gint64 running_since_us;
