End an attempt that is being stopped when its start is refused

Cause: mh_attempt_note_start_refused left such an attempt stopping with no start sent. Nothing ends it: no message of the worker will ever show it, and nothing starts an attempt that is being stopped.

Change: a refused start proves that no copy of it will be carried out, so that an attempt that is being stopped ends with it, as one does that is stopped before its start is sent.

--- a/src/cluster/attempt.c
+++ b/src/cluster/attempt.c
@@ -95,12 +95,14 @@
 }
 
 void
-mh_attempt_note_start_refused (MhAttempt *attempt)
+mh_attempt_note_start_refused (MhCluster *cluster, MhAttempt *attempt)
 {
   if (attempt->reported || attempt->start_sequence != 0 || attempt->start != MH_START_SENT)
     return;
   change_state (attempt, MH_ATTEMPT_EVENT_START_REFUSED);
   attempt->start = MH_START_NOT_SENT;
+  if (mh_attempt_is_stopping (attempt))
+    mh_attempt_note_ended (cluster, attempt, false);
 }
 
 static void
--- a/src/cluster/attempt.h
+++ b/src/cluster/attempt.h
@@ -141,14 +141,16 @@
 
 /**
  * mh_attempt_note_start_refused:
- * @attempt: an attempt whose direct start the worker has refused
+ * @cluster: the cluster
+ * @attempt: (transfer full): an attempt whose direct start the worker has refused; may be freed
  *
- * Notes that no start has been sent, since the worker will refuse each copy of this one too. Has no
+ * Notes that no start has been sent, since the worker will refuse each copy of this one too. An
+ * attempt that is being stopped ends with that: no message of the worker will ever show it. Has no
  * effect if a start was also sent in the response to a heartbeat, or if the worker has reported the
  * attempt.
  */
 void
-mh_attempt_note_start_refused (MhAttempt *attempt);
+mh_attempt_note_start_refused (MhCluster *cluster, MhAttempt *attempt);
 
 /**
  * mh_attempt_note_reported:
--- a/src/cluster/direct-command.c
+++ b/src/cluster/direct-command.c
@@ -59,12 +59,13 @@
 }
 
 static void
-handle_start_response (MhMachine *machine, const MhCommand *command, guint status)
+handle_start_response (MhCluster *cluster, MhMachine *machine, const MhCommand *command,
+                       guint status)
 {
   bool refused = status == STATUS_CONFLICT || status == STATUS_BAD_REQUEST;
   MhAttempt *attempt = find_attempt (machine, command);
   if (attempt && refused)
-    mh_attempt_note_start_refused (attempt);
+    mh_attempt_note_start_refused (cluster, attempt);
   MhUnfencedStart *start
       = mh_fencing_find_start (machine, command->job, command->index, command->attempt);
   if (start == NULL)
@@ -104,7 +105,7 @@
       if (command->kind == MH_COMMAND_STOP)
         handle_stop_response (machine, command, response->status);
       else
-        handle_start_response (machine, command, response->status);
+        handle_start_response (cluster, machine, command, response->status);
     }
   if (message)
     mh_heartbeat_receive_response (cluster, machine, message);
--- a/tests/stand-in/controller.c
+++ b/tests/stand-in/controller.c
@@ -305,6 +305,12 @@
   return self->core ? mh_core_get_count (self->core, counter) : 0;
 }
 
+MhCore *
+controller_get_core (Controller *self)
+{
+  return self->core;
+}
+
 bool
 controller_leads (const Controller *self)
 {
--- a/tests/stand-in/controller.h
+++ b/tests/stand-in/controller.h
@@ -56,6 +56,10 @@
  * production */
 guint64
 controller_count (const Controller *controller, MhCounter counter);
+/** controller_get_core: Returns: (transfer none) (nullable): the core; %NULL: of the version in
+ * production */
+MhCore *
+controller_get_core (Controller *controller);
 /** controller_leads: Returns: whether its leader lease is valid, as of its last input */
 bool
 controller_leads (const Controller *controller);
--- a/tests/test-late-messages.c
+++ b/tests/test-late-messages.c
@@ -205,6 +205,64 @@
   g_assert_false (user->reported_done || user->reported_cancelled);
 }
 
+static bool
+has_held_command (Simulation *simulation, gpointer unused)
+{
+  (void)unused;
+  return simulation->network->held_commands->len > 0;
+}
+
+/* More direct starts than a machine may have unfenced, so that its token is raised. */
+#define MANY_TASKS 80u
+
+/* Holds the direct start of an array that fills the only machine, and requests that some of its
+   tasks are stopped, either all by a cancellation or some for an urgent service. The worker's next
+   heartbeat brings it a higher token, so that it refuses the start when that arrives. Returns: the
+   user of the array. */
+static User *
+stop_array_with_refused_start (Simulation *simulation, bool cancel)
+{
+  simulation->cloud->max_machines = 0;
+  cloud_add_machine (simulation->cloud, "large", "a", false);
+  simulation_run (simulation, 10);
+  Worker *worker = worker_by_index (simulation, 0);
+  MhJobSpec *spec = job_spec_new (2, MH_SHAPE_ARRAY, MANY_TASKS, 0.2);
+  spec->mem_gb = 0.1;
+  spec->priority = MH_PRIORITY_LOW;
+  simulation->network->hold_commands = true;
+  worker->next_heartbeat_us = simulation->clock->now_us + 10 * MH_SECOND_US;
+  User *array = simulation_submit (simulation, spec, 3);
+  WAIT (simulation, 5, has_held_command, NULL);
+  if (cancel)
+    user_cancel (array);
+  else
+    simulation_submit (simulation, job_spec_new (1, MH_SHAPE_SERVICE, 1, 4), 0);
+  simulation_run (simulation, 1.2);
+  worker->next_heartbeat_us = simulation->clock->now_us;
+  simulation_run (simulation, 0.3);
+  outgoing_calls_release_commands (simulation);
+  return array;
+}
+
+/* Tasks that were to be stopped while their start was held up, and whose start was then refused,
+   were never started again: nothing ended their attempts. */
+static void
+test_start_refused_while_preempted (Simulation *simulation)
+{
+  User *array = stop_array_with_refused_start (simulation, false);
+  WAIT (simulation, 90, is_reported_done, array);
+}
+
+/* As before, for a job that is cancelled: its attempts kept the quota of its team. */
+static void
+test_start_refused_while_cancelled (Simulation *simulation)
+{
+  User *array = stop_array_with_refused_start (simulation, true);
+  WAIT (simulation, 30, is_reported_cancelled, array);
+  User *next = simulation_submit (simulation, job_spec_new (4, MH_SHAPE_ARRAY, 4, 4), 3);
+  WAIT (simulation, 60, all_tasks_running, next);
+}
+
 /* A record cannot be read, for example because another version wrote it. Its job must not be
    answered as unknown, and its tasks must be neither stopped nor started again. */
 static void
@@ -282,5 +340,9 @@
   simulation_test_add ("/late-messages/redundant-or-impossible-requests", 84,
                        test_redundant_or_impossible_requests);
   simulation_test_add ("/late-messages/unreadable-record", 85, test_unreadable_record);
+  simulation_test_add ("/late-messages/start-refused-while-preempted", 60,
+                       test_start_refused_while_preempted);
+  simulation_test_add ("/late-messages/start-refused-while-cancelled", 61,
+                       test_start_refused_while_cancelled);
   return g_test_run ();
 }
