Refuse a new job whose submission lacks a field, and no other

Cause: the reader takes the three for optional, as the version in production does. The trap: a job that was accepted so must stay known when its submission comes again.

Evidence: /protocol/fields-of-submission has the protocol's list of fields as a table; the loopback test got 200 for 400 over real HTTP.

Change: the reader goes on reading such a submission and marks it incomplete. Admission refuses it as a new job, so that it takes the way of every refusal: its job is looked up first, and 400 is given only if there is no record; 503 where that cannot be read. Followers forward it as it came.

Measured: /repeated-requests/new-job-lacks-field (201 for 400), /admission/incomplete and the loopback test failed before the check in admission was there and pass now. accepted-jobs-lack-field (jobs that the version in production accepted, six changes of version or leader, every controller asked) held before and is the guard: with a refusal ahead of the look-up (scratch copy) it fails.

--- a/src/controller/admission.c
+++ b/src/controller/admission.c
@@ -56,6 +56,8 @@
 mh_admission_check (const MhSettings *settings, const GPtrArray *types, const MhJobSpec *spec)
 {
   g_return_val_if_fail (settings && spec, MH_ADMISSION_IMPOSSIBLE);
+  if (spec->is_incomplete)
+    return MH_ADMISSION_INCOMPLETE;
   /* The key-value store would reject the record each time it is written, and the user, who gets
      503, would retry for ever. */
   if (!fits_record (settings, types, spec))
@@ -79,6 +81,8 @@
     {
     case MH_ADMISSION_ACCEPT:
       return "accepted";
+    case MH_ADMISSION_INCOMPLETE:
+      return "field_missing";
     case MH_ADMISSION_TOO_LARGE:
       return "record_too_large";
     case MH_ADMISSION_IMPOSSIBLE:
--- a/src/controller/admission.h
+++ b/src/controller/admission.h
@@ -8,6 +8,7 @@
 /**
  * MhAdmission:
  * @MH_ADMISSION_ACCEPT: the job can run
+ * @MH_ADMISSION_INCOMPLETE: the submission lacks a field
  * @MH_ADMISSION_TOO_LARGE: the job's record does not fit a value of the key-value store, whatever
  * the machine types are if they are not known
  * @MH_ADMISSION_IMPOSSIBLE: the job can never run with these settings and machine types
@@ -18,6 +19,7 @@
 typedef enum
 {
   MH_ADMISSION_ACCEPT,
+  MH_ADMISSION_INCOMPLETE,
   MH_ADMISSION_TOO_LARGE,
   MH_ADMISSION_IMPOSSIBLE,
   MH_ADMISSION_UNDECIDED
--- a/src/controller/user-requests.c
+++ b/src/controller/user-requests.c
@@ -83,6 +83,8 @@
 {
   switch (admission)
     {
+    case MH_ADMISSION_INCOMPLETE:
+      return MH_LOOKUP_INCOMPLETE;
     case MH_ADMISSION_TOO_LARGE:
       return MH_LOOKUP_TOO_LARGE;
     case MH_ADMISSION_IMPOSSIBLE:
@@ -190,7 +192,7 @@
     return false;
   MhAdmission admission
       = mh_admission_check (core->settings, mh_cluster_types (core->cluster), request->spec);
-  if (admission != MH_ADMISSION_IMPOSSIBLE && admission != MH_ADMISSION_TOO_LARGE)
+  if (admission == MH_ADMISSION_ACCEPT || admission == MH_ADMISSION_UNDECIDED)
     return false;
   look_up_submission (core, request, admission, MH_LOOKUP_LEADERLESS);
   return true;
--- a/src/protocol/job-spec.h
+++ b/src/protocol/job-spec.h
@@ -65,6 +65,8 @@
  * @checkpoint_interval_us: interval of run time at which a task saves checkpoints; 0: never
  * @checkpoint_save_us: time that a task needs to save a checkpoint when it is stopped
  * @deadline_us: deadline, relative to the submission; -1: none
+ * @is_incomplete: the submission lacks a field that it must have, but that earlier versions
+ * accepted it without; the member of that field has its default
  *
  * The description of a job. It owns its strings.
  */
@@ -83,6 +85,7 @@
   bool single_zone, spread_over_zones, spot;
   gint64 estimated_run_us, checkpoint_interval_us, checkpoint_save_us;
   gint64 deadline_us;
+  bool is_incomplete;
 } MhJobSpec;
 
 /**
--- a/src/protocol/user-messages.c
+++ b/src/protocol/user-messages.c
@@ -47,6 +47,19 @@
   { "due_s", MH_FIELD_DURATION, MH_FIELD_OPTIONAL, MEMBER (deadline_us) },
 };
 
+/* The protocol requires these too. Earlier versions accepted jobs without them, which must stay
+   known when they are submitted again. */
+static const char *const fields_once_optional[] = { "same_place", "scatter", "standby" };
+
+static bool
+lacks_field (const MhValue *body)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (fields_once_optional); i++)
+    if (mh_value_get (body, fields_once_optional[i]) == NULL)
+      return true;
+  return false;
+}
+
 MhJobSpec *
 mh_submission_decode (const MhValue *body, GError **error)
 {
@@ -54,6 +67,7 @@
   spec->deadline_us = -1;
   if (!mh_fields_decode (body, submission_fields, G_N_ELEMENTS (submission_fields), spec, error))
     return NULL;
+  spec->is_incomplete = lacks_field (body);
   return g_steal_pointer (&spec);
 }
 
--- a/src/protocol/user-messages.h
+++ b/src/protocol/user-messages.h
@@ -62,7 +62,9 @@
  * @body: (nullable): a submission, from a user or from the record of a job
  * @error: (nullable): return location for an error of %MH_PROTOCOL_ERROR
  *
- * Returns: (transfer full) (nullable): the description of the job, or %NULL when @body is malformed
+ * Returns: (transfer full) (nullable): the description of the job, or %NULL when @body is
+ * malformed. Its member is_incomplete tells whether a new job of that kind must be refused as
+ * malformed
  */
 MhJobSpec *
 mh_submission_decode (const MhValue *body, GError **error);
--- a/src/storage/lookup.c
+++ b/src/storage/lookup.c
@@ -241,6 +241,7 @@
       return (MhUserResponse){ .status = STATUS_NOT_FOUND };
     case MH_LOOKUP_IMPOSSIBLE:
       return (MhUserResponse){ .status = STATUS_UNPROCESSABLE };
+    case MH_LOOKUP_INCOMPLETE:
     case MH_LOOKUP_TOO_LARGE:
       return (MhUserResponse){ .status = STATUS_BAD_REQUEST };
     case MH_LOOKUP_UNDECIDED:
--- a/src/storage/lookup.h
+++ b/src/storage/lookup.h
@@ -69,6 +69,7 @@
  * MhLookupAbsence:
  * @MH_LOOKUP_UNKNOWN_JOB: 404: the job is not known
  * @MH_LOOKUP_IMPOSSIBLE: 422: a submission of a job that can never run
+ * @MH_LOOKUP_INCOMPLETE: 400: a submission that lacks a field
  * @MH_LOOKUP_TOO_LARGE: 400: a submission whose record would be too large
  * @MH_LOOKUP_UNDECIDED: 503: a submission that can be neither accepted nor refused yet
  * @MH_LOOKUP_REFUSED_BY_STORE: 503: a submission whose record the store refuses
@@ -79,6 +80,7 @@
 {
   MH_LOOKUP_UNKNOWN_JOB,
   MH_LOOKUP_IMPOSSIBLE,
+  MH_LOOKUP_INCOMPLETE,
   MH_LOOKUP_TOO_LARGE,
   MH_LOOKUP_UNDECIDED,
   MH_LOOKUP_REFUSED_BY_STORE
--- a/tests/stand-in/controller-node.c
+++ b/tests/stand-in/controller-node.c
@@ -29,6 +29,7 @@
   g_autoptr (MhValue) message = mh_submission_encode (spec);
   MhJobSpec *copy = mh_submission_decode (message, NULL);
   g_assert_nonnull (copy);
+  copy->is_incomplete = spec->is_incomplete; /* an encoded submission has all fields */
   return copy;
 }
 
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -156,6 +156,19 @@
                    MH_ADMISSION_TOO_LARGE);
 }
 
+/* An incomplete submission is malformed, whatever else is true of it. */
+static void
+test_incomplete (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  fixture->spec->is_incomplete = true;
+  g_assert_cmpint (check (fixture), ==, MH_ADMISSION_INCOMPLETE);
+  g_assert_cmpint (mh_admission_check (fixture->settings, NULL, fixture->spec), ==,
+                   MH_ADMISSION_INCOMPLETE);
+  fixture->settings->value_bytes = 64;
+  g_assert_cmpint (check (fixture), ==, MH_ADMISSION_INCOMPLETE);
+}
+
 #define ADD(name, test) g_test_add ("/admission/" name, Fixture, NULL, set_up, test, tear_down)
 
 int
@@ -168,5 +181,6 @@
   ADD ("too-large-for-a-value", test_too_large_for_a_value);
   ADD ("unknown-types-are-dropped", test_unknown_types_are_dropped);
   ADD ("many-types", test_many_types);
+  ADD ("incomplete", test_incomplete);
   return g_test_run ();
 }
--- a/tests/test-loopback.c
+++ b/tests/test-loopback.c
@@ -161,6 +161,25 @@
     send_request_until (i, "GET", "/ready", NULL, 200, NULL);
 }
 
+/* Returns the body of a submission without the field `name`. */
+static GBytes *
+encode_submission_without (const char *id, const char *name)
+{
+  gsize size;
+  g_autoptr (GBytes) complete = encode_submission (id, "red", MH_SHAPE_ARRAY, 1, 1);
+  const void *data = g_bytes_get_data (complete, &size);
+  g_autoptr (MhValue) body = mh_value_parse (data, size, NULL);
+  g_autoptr (MhValue) incomplete = mh_value_new_map ();
+  struct cbor_pair *pairs = cbor_map_handle (body);
+  for (gsize i = 0; i < cbor_map_size (body); i++)
+    {
+      g_autofree char *key = mh_value_as_text (pairs[i].key);
+      if (strcmp (key, name) != 0)
+        mh_value_set (incomplete, key, cbor_incref (pairs[i].value));
+    }
+  return mh_value_serialize (incomplete);
+}
+
 /* Every controller must refuse a malformed or unknown request with the status for its fault. */
 static void
 test_refused_requests (void)
@@ -168,6 +187,7 @@
   g_autoptr (GBytes) text = g_bytes_new_static ("hello", 5);
   g_autoptr (GBytes) list = g_bytes_new_static ("\x80", 1);
   g_autoptr (GBytes) unknown_team = encode_submission ("j-000900", "nobody", MH_SHAPE_ARRAY, 1, 1);
+  g_autoptr (GBytes) incomplete = encode_submission_without ("j-000902", "standby");
   g_autofree char *large = g_malloc0 (MH_MAX_BODY_SIZE + 1);
   g_autoptr (GBytes) too_large = g_bytes_new_static (large, MH_MAX_BODY_SIZE + 1);
   for (guint i = 0; i < NODES; i++)
@@ -183,6 +203,7 @@
       g_assert_cmpuint (send_request (i, "GET", "/submissions", NULL, NULL), ==, 405);
       g_assert_cmpuint (send_request (i, "GET", "/submissions/nonsense", NULL, NULL), ==, 404);
       send_request_until (i, "POST", "/submissions", unknown_team, 422, NULL);
+      send_request_until (i, "POST", "/submissions", incomplete, 400, NULL);
       send_request_until (i, "GET", "/submissions/j-000901", NULL, 404, NULL);
     }
 }
@@ -197,6 +218,10 @@
   send_request_until (1, "GET", "/submissions/j-000001", NULL, 200, "done");
   send_request_until (2, "GET", "/submissions/j-000001", NULL, 200, "done");
   send_request_until (0, "POST", "/submissions", body, 200, "done");
+  /* As when an earlier version accepted it so. */
+  g_autoptr (GBytes) incomplete = encode_submission_without ("j-000001", "standby");
+  for (guint i = 0; i < NODES; i++)
+    send_request_until (i, "POST", "/submissions", incomplete, 200, "done");
 }
 
 /* The heartbeat of a worker that has seen no leader yet: it proves nothing about its tasks. */
--- a/tests/test-protocol.c
+++ b/tests/test-protocol.c
@@ -126,6 +126,70 @@
       is_accepted (replace_field (build_submission (), "standby", cbor_build_float8 (1))));
 }
 
+/* Whether a user's submission may lack a field. */
+typedef enum
+{
+  FIELD_REQUIRED,      /* malformed without it */
+  FIELD_ONCE_OPTIONAL, /* read without it, for jobs that earlier versions accepted, and incomplete
+                        */
+  FIELD_OPTIONAL
+} FieldPresence;
+
+/* The published protocol's list of fields; a value of a wrong type is malformed for all of them. */
+static const struct
+{
+  const char *name;
+  FieldPresence presence;
+} protocol_fields[] = {
+  { "id", FIELD_REQUIRED },           { "workload", FIELD_REQUIRED },
+  { "desk", FIELD_REQUIRED },         { "shape", FIELD_REQUIRED },
+  { "rank", FIELD_REQUIRED },         { "legs", FIELD_REQUIRED },
+  { "cpus", FIELD_REQUIRED },         { "gpus", FIELD_REQUIRED },
+  { "mem_gb", FIELD_REQUIRED },       { "build", FIELD_REQUIRED },
+  { "size_gb", FIELD_REQUIRED },      { "racks", FIELD_OPTIONAL },
+  { "hall", FIELD_OPTIONAL },         { "same_place", FIELD_ONCE_OPTIONAL },
+  { "scatter", FIELD_ONCE_OPTIONAL }, { "standby", FIELD_ONCE_OPTIONAL },
+  { "runtime_s", FIELD_REQUIRED },    { "snapshot_s", FIELD_REQUIRED },
+  { "flush_s", FIELD_REQUIRED },      { "due_s", FIELD_OPTIONAL },
+};
+
+static MhValue *
+build_complete_submission (void)
+{
+  MhValue *body = build_submission ();
+  mh_value_set_bool (body, "scatter", false);
+  mh_value_set_bool (body, "standby", true);
+  return body;
+}
+
+/* Consumes `body`. */
+static void
+assert_presence (MhValue *body, FieldPresence presence)
+{
+  g_autoptr (MhValue) submission = body;
+  g_autoptr (MhJobSpec) spec = mh_submission_decode (submission, NULL);
+  g_assert_cmpint (spec != NULL, ==, presence != FIELD_REQUIRED);
+  if (spec)
+    g_assert_cmpint (spec->is_incomplete, ==, presence == FIELD_ONCE_OPTIONAL);
+}
+
+/* Submissions that lack a field that the protocol requires were accepted. */
+static void
+test_fields_of_submission (void)
+{
+  assert_presence (build_complete_submission (), FIELD_OPTIONAL);
+  for (guint i = 0; i < G_N_ELEMENTS (protocol_fields); i++)
+    {
+      const char *name = protocol_fields[i].name;
+      FieldPresence presence = protocol_fields[i].presence;
+      assert_presence (replace_field (build_complete_submission (), name, NULL), presence);
+      assert_presence (replace_field (build_complete_submission (), name, cbor_new_null ()),
+                       presence);
+      g_assert_false (
+          is_accepted (replace_field (build_complete_submission (), name, mh_value_new_map ())));
+    }
+}
+
 /* Job records contain submissions: a field that is lost in encoding and decoding would change the
    job. */
 static void
@@ -402,6 +466,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/protocol/submission", test_submission);
+  g_test_add_func ("/protocol/fields-of-submission", test_fields_of_submission);
   g_test_add_func ("/protocol/round-trip", test_round_trip);
   g_test_add_func ("/protocol/malformed-cbor", test_malformed_cbor);
   g_test_add_func ("/protocol/random-bytes", test_random_bytes);
--- a/tests/test-repeated-requests.c
+++ b/tests/test-repeated-requests.c
@@ -260,6 +260,76 @@
   g_assert_cmpuint (simulation_running_tasks (simulation, JOB_ID), ==, 0);
 }
 
+/* ---- submissions that lack a field ---- */
+
+static MhJobSpec *
+without_a_field (const MhJobSpec *spec)
+{
+  MhJobSpec *incomplete = job_spec_copy (spec);
+  incomplete->is_incomplete = true;
+  return incomplete;
+}
+
+/* A submission without `same_place`, `scatter` or `standby` was accepted, and its job ran with
+   values that its user had not given. */
+static void
+test_new_job_lacks_field (Simulation *simulation)
+{
+  g_autoptr (MhJobSpec) spec = job_spec_new (1, MH_SHAPE_ARRAY, 1, 1);
+  g_autoptr (MhJobSpec) incomplete = without_a_field (spec);
+  WAIT (simulation, 10, has_leader, NULL);
+  simulation_run (simulation, 3);
+  for (guint i = 0; i < SIMULATION_NODES; i++)
+    {
+      g_assert_cmpuint (request (simulation, i, MH_USER_SUBMIT, incomplete).status, ==, 400);
+      g_assert_cmpuint (request (simulation, i, MH_USER_STATUS, incomplete).status, ==, 404);
+    }
+  stop_all (simulation);
+  simulation->nodes[0].writes_lost_until_us = G_MAXINT64; /* it cannot be elected */
+  simulation_start_node (simulation, 0);
+  simulation_run (simulation, 5);
+  g_assert_cmpuint (request (simulation, 0, MH_USER_SUBMIT, incomplete).status, ==, 400);
+  simulation->nodes[0].store_cut_until_us = G_MAXINT64; /* nor read the records */
+  simulation_run (simulation, 5);
+  g_assert_cmpuint (request (simulation, 0, MH_USER_SUBMIT, incomplete).status, ==, 503);
+}
+
+static void
+assert_known_everywhere (Simulation *simulation, const MhJobSpec *done, const MhJobSpec *running)
+{
+  g_autoptr (MhJobSpec) repeated_done = without_a_field (done);
+  g_autoptr (MhJobSpec) repeated_running = without_a_field (running);
+  for (guint i = 0; i < SIMULATION_NODES; i++)
+    {
+      MhUserResponse response = request (simulation, i, MH_USER_SUBMIT, repeated_done);
+      g_assert_cmpuint (response.status, ==, 200);
+      g_assert_cmpint (response.state, ==, MH_JOB_DONE);
+      response = request (simulation, i, MH_USER_SUBMIT, repeated_running);
+      g_assert_cmpuint (response.status, ==, 200);
+      g_assert_cmpint (response.state, ==, MH_JOB_RUNNING);
+    }
+}
+
+/* Jobs that the version in production accepted without such a field stay known when they are
+   submitted again: as the versions change, at leader and followers, and after each change of
+   leader. */
+static void
+test_accepted_jobs_lack_field (Simulation *simulation)
+{
+  for (guint i = 0; i < SIMULATION_NODES; i++)
+    simulation_restart_node (simulation, i, CONTROLLER_PRODUCTION, 0);
+  const MhJobSpec *done = run_to_end (simulation, job_spec_new (3, MH_SHAPE_ARRAY, 1, 1));
+  const User *service = start_service (simulation, 1, 2);
+  for (guint i = 0; i < 2 * SIMULATION_NODES; i++)
+    {
+      simulation_restart_node (simulation, i % SIMULATION_NODES, CONTROLLER_CURRENT, 0.5);
+      simulation_run (simulation, 1);
+      WAIT (simulation, 10, has_leader, NULL);
+      simulation_run (simulation, 10);
+      assert_known_everywhere (simulation, done, service->job->spec);
+    }
+}
+
 #define ADD(name, seed, test) simulation_test_add ("/repeated-requests/" name, seed, test)
 
 int
@@ -273,5 +343,7 @@
   ADD ("ended-job-refused-by-store", 7, test_ended_job_refused_by_store);
   ADD ("running-job-after-lower-value-limit", 5, test_running_job_after_lower_value_limit);
   ADD ("jobs-of-removed-team", 6, test_jobs_of_removed_team);
+  ADD ("new-job-lacks-field", 8, test_new_job_lacks_field);
+  ADD ("accepted-jobs-lack-field", 9, test_accepted_jobs_lack_field);
   return g_test_run ();
 }
