Refuse a scattered service that is allowed in one zone only

What callers saw: a service with scatter, bound to one hall, of four replicas is accepted, though at most half of its tasks may be in one zone, so that two never run; a gang like that gets 422.

Cause: whether there are zones enough for all tasks at a time was asked for gangs only.

Change: admission asks it of services too; the function moves there from the placement of gangs, which did not use it. Tasks of an array may run one after the other. A type that names no zones counts as offered in all, as in mh_job_spec_fits_type.

--- a/src/controller/admission.c
+++ b/src/controller/admission.c
@@ -1,8 +1,8 @@
 #include "controller/admission.h"
 
 #include "jobs/job.h"
-#include "placement/filter.h"
-#include "placement/gang-placement.h"
+
+#include <string.h>
 
 /* Tolerance, in cpus and gpus, for rounding errors in products and sums of decimal amounts. */
 #define QUOTA_TOLERANCE 1e-9
@@ -25,6 +25,41 @@
   return false;
 }
 
+/* Whether the type is offered in a zone other than `*first`. The first zone of the first type sets
+   `*first`. A type that names no zones is offered in all. */
+static bool
+has_second_zone (const MhMachineType *type, const char **first)
+{
+  if (type->zones == NULL)
+    return true;
+  for (char **zone = type->zones; *zone; zone++)
+    {
+      if (*first && strcmp (*first, *zone) != 0)
+        return true;
+      *first = *zone;
+    }
+  return false;
+}
+
+/* Whether all tasks could ever run at the same time, as those of services and gangs have to. At
+   most half of the tasks of a scattered job may be in one zone, so that it needs at least two. */
+static bool
+has_enough_zones (const GPtrArray *types, const MhJobSpec *spec)
+{
+  if (spec->shape == MH_SHAPE_ARRAY || !spec->spread_over_zones || spec->tasks == 1)
+    return true;
+  if (spec->single_zone || spec->zone)
+    return false;
+  const char *first = NULL;
+  for (guint i = 0; i < types->len; i++)
+    {
+      const MhMachineType *type = g_ptr_array_index (types, i);
+      if (mh_job_spec_fits_type (spec, type) && has_second_zone (type, &first))
+        return true;
+    }
+  return false;
+}
+
 /* Returns NULL when the submission allows any type. */
 static char **
 list_known_types (const GPtrArray *types, const MhJobSpec *spec)
@@ -67,9 +102,7 @@
     return MH_ADMISSION_IMPOSSIBLE;
   if (types == NULL)
     return MH_ADMISSION_UNDECIDED;
-  if (!fits_any_type (types, spec))
-    return MH_ADMISSION_IMPOSSIBLE;
-  if (spec->shape == MH_SHAPE_GANG && !mh_gang_is_feasible (types, spec))
+  if (!fits_any_type (types, spec) || !has_enough_zones (types, spec))
     return MH_ADMISSION_IMPOSSIBLE;
   return MH_ADMISSION_ACCEPT;
 }
--- a/src/placement/gang-placement.c
+++ b/src/placement/gang-placement.c
@@ -17,37 +17,6 @@
    holds capacity. */
 #define CAPACITY_HOLD_US (90 * MH_SECOND_US)
 
-/* Whether the type is offered in a zone other than `*first`. The first zone of the first type sets
-   `*first`. */
-static bool
-has_second_zone (const MhMachineType *type, const char **first)
-{
-  for (char **zone = type->zones; zone && *zone; zone++)
-    {
-      if (*first && strcmp (*first, *zone) != 0)
-        return true;
-      *first = *zone;
-    }
-  return false;
-}
-
-bool
-mh_gang_is_feasible (const GPtrArray *types, const MhJobSpec *spec)
-{
-  if (!spec->spread_over_zones || spec->tasks == 1)
-    return true;
-  if (spec->single_zone || spec->zone)
-    return false;
-  const char *first = NULL;
-  for (guint i = 0; types && i < types->len; i++)
-    {
-      const MhMachineType *type = g_ptr_array_index (types, i);
-      if (mh_job_spec_fits_type (spec, type) && has_second_zone (type, &first))
-        return true;
-    }
-  return false;
-}
-
 /* ---- starting ---- */
 
 static guint32
--- a/src/placement/gang-placement.h
+++ b/src/placement/gang-placement.h
@@ -19,19 +19,6 @@
   MH_GANG_STARTED
 } MhGangPlacementResult;
 
-/**
- * mh_gang_is_feasible:
- * @types: (nullable) (element-type MhMachineType): the machine types; %NULL: not known yet
- * @spec: a gang
- *
- * Checks only the zones: a scattered gang of more than one task needs at least two zones. They must
- * be allowed by the gang, and machine types that fit must be offered in them.
- *
- * Returns: whether all tasks could ever run at the same time
- */
-bool
-mh_gang_is_feasible (const GPtrArray *types, const MhJobSpec *spec);
-
 /**
  * mh_gang_place:
  * @pass: the pass
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -156,6 +156,34 @@
                    MH_ADMISSION_TOO_LARGE);
 }
 
+/* At most half of the tasks of a scattered job may be in one zone. A service that is allowed in one
+   zone only was accepted, and half of its replicas waited for ever; a gang was refused. */
+static void
+test_scattered_in_one_zone (Fixture *fixture, gconstpointer unused)
+{
+  (void)unused;
+  fixture->spec->tasks = 2;
+  fixture->spec->spread_over_zones = true; /* the only type is offered in one zone */
+  fixture->spec->shape = MH_SHAPE_SERVICE;
+  g_assert_cmpint (check (fixture), ==, MH_ADMISSION_IMPOSSIBLE);
+  fixture->spec->shape = MH_SHAPE_GANG;
+  g_assert_cmpint (check (fixture), ==, MH_ADMISSION_IMPOSSIBLE);
+  fixture->spec->shape = MH_SHAPE_ARRAY; /* its tasks may run one after the other */
+  g_assert_cmpint (check (fixture), ==, MH_ADMISSION_ACCEPT);
+
+  fixture->spec->shape = MH_SHAPE_SERVICE;
+  fixture->spec->tasks = 1;
+  g_assert_cmpint (check (fixture), ==, MH_ADMISSION_ACCEPT);
+  fixture->spec->tasks = 2;
+  MhMachineType *elsewhere = machine_type ("small-elsewhere", 4);
+  g_free (elsewhere->zones[0]);
+  elsewhere->zones[0] = g_strdup ("b");
+  g_ptr_array_add (fixture->types, elsewhere);
+  g_assert_cmpint (check (fixture), ==, MH_ADMISSION_ACCEPT);
+  fixture->spec->zone = g_strdup ("b");
+  g_assert_cmpint (check (fixture), ==, MH_ADMISSION_IMPOSSIBLE);
+}
+
 /* An incomplete submission is malformed, whatever else is true of it. */
 static void
 test_incomplete (Fixture *fixture, gconstpointer unused)
@@ -181,6 +209,7 @@
   ADD ("too-large-for-a-value", test_too_large_for_a_value);
   ADD ("unknown-types-are-dropped", test_unknown_types_are_dropped);
   ADD ("many-types", test_many_types);
+  ADD ("scattered-in-one-zone", test_scattered_in_one_zone);
   ADD ("incomplete", test_incomplete);
   return g_test_run ();
 }
--- a/tests/test-repeated-requests.c
+++ b/tests/test-repeated-requests.c
@@ -260,6 +260,31 @@
   g_assert_cmpuint (simulation_running_tasks (simulation, JOB_ID), ==, 0);
 }
 
+/* A service that is refused now, since half of its replicas can never run, and that the version in
+   production has accepted. */
+static void
+test_accepted_service_in_one_zone (Simulation *simulation)
+{
+  for (guint i = 0; i < SIMULATION_NODES; i++)
+    simulation_restart_node (simulation, i, CONTROLLER_PRODUCTION, 0);
+  MhJobSpec *spec = job_spec_new (1, MH_SHAPE_SERVICE, 2, 1);
+  spec->spread_over_zones = true;
+  spec->zone = g_strdup ("a");
+  const User *service = simulation_submit (simulation, spec, 0);
+  simulation_run (simulation, 30);
+  g_assert_cmpuint (simulation_running_tasks (simulation, JOB_ID), ==, 1);
+  for (guint i = 0; i < SIMULATION_NODES; i++)
+    simulation_restart_node (simulation, i, CONTROLLER_CURRENT, 0);
+  WAIT (simulation, 10, has_leader, NULL);
+  simulation_run (simulation, 10);
+  assert_running_everywhere (simulation, service);
+
+  g_autoptr (MhJobSpec) never_accepted = job_spec_copy (spec);
+  g_free (never_accepted->id);
+  never_accepted->id = g_strdup ("j-000003");
+  g_assert_cmpuint (request (simulation, 0, MH_USER_SUBMIT, never_accepted).status, ==, 422);
+}
+
 /* ---- submissions that lack a field ---- */
 
 static MhJobSpec *
@@ -343,6 +368,7 @@
   ADD ("ended-job-refused-by-store", 7, test_ended_job_refused_by_store);
   ADD ("running-job-after-lower-value-limit", 5, test_running_job_after_lower_value_limit);
   ADD ("jobs-of-removed-team", 6, test_jobs_of_removed_team);
+  ADD ("accepted-service-in-one-zone", 10, test_accepted_service_in_one_zone);
   ADD ("new-job-lacks-field", 8, test_new_job_lacks_field);
   ADD ("accepted-jobs-lack-field", 9, test_accepted_jobs_lack_field);
   return g_test_run ();
