--- a/tests/stand-in/user.h
+++ b/tests/stand-in/user.h
@@ -15,6 +15,7 @@
  * @reported_done: a response has reported the job as done
  * @reported_cancelled: a response has reported the job as cancelled
  * @infeasible: the job can never run, and must not be accepted
+ * @may_be_refused: the version in production accepts the job, and this one refuses it
  * @job_end_seen: the last task has ended, and users_cancel_at_job_end() has decided whether to
  *   cancel
  * @last_status: HTTP status of the last response
@@ -29,6 +30,7 @@
   bool wants_cancel;
   bool reported_done, reported_cancelled;
   bool infeasible;
+  bool may_be_refused;
   bool job_end_seen;
   guint last_status;
   gint64 final_response_us;
