Split the outcomes of the record writer's transactions by job

write-outcome.c had three jobs in 419 lines: what follows from an outcome, answers to the users who wait for it, and submissions that come again after their job has ended. The last two have files of their own now (waiter-response, repeated-submission); nothing else changes.

--- a/src/storage/write-outcome.c
+++ b/src/storage/write-outcome.c
@@ -3,12 +3,11 @@
 
 #include "election/leader-record.h"
 #include "storage/rechunk.h"
-#include "protocol/key-value-messages.h"
+#include "storage/repeated-submission.h"
+#include "storage/waiter-response.h"
 
 #include <string.h>
 
-#define READ_TIMEOUT_US MH_SECOND_US
-
 static MhRecordWrite *
 get_write (const MhSentBatch *sent, guint index)
 {
@@ -43,45 +42,6 @@
   return MH_CALL_WORK;
 }
 
-/* ---- responses to waiting users ---- */
-
-static bool
-can_be_answered (const MhJob *job, MhUserVerb verb)
-{
-  return verb == MH_USER_SUBMIT ? job->accepted
-                                : mh_job_is_cancel_durable (job) || mh_job_is_end_durable (job);
-}
-
-static void
-respond_to_waiters (MhRecordWriter *writer, const MhJob *job)
-{
-  for (guint i = 0; i < job->waiters->len;)
-    {
-      MhWaiter waiter = g_array_index (job->waiters, MhWaiter, i);
-      if (!can_be_answered (job, waiter.verb))
-        {
-          i++;
-          continue;
-        }
-      g_array_remove_index (job->waiters, i);
-      MhAction *action
-          = mh_runtime_add_action (writer->runtime, MH_ACTION_RESPOND_TO_USER, waiter.id);
-      mh_job_fill_response (job, &action->response);
-      action->response.status = waiter.verb == MH_USER_SUBMIT ? 201 : 200;
-    }
-}
-
-static void
-respond_to_all_waiters (MhRecordWriter *writer, const MhJob *job, const MhUserResponse *response)
-{
-  for (guint i = 0; i < job->waiters->len; i++)
-    {
-      guint64 id = g_array_index (job->waiters, MhWaiter, i).id;
-      mh_runtime_add_action (writer->runtime, MH_ACTION_RESPOND_TO_USER, id)->response = *response;
-    }
-  g_array_set_size (job->waiters, 0);
-}
-
 /* ---- applied transactions ---- */
 
 static const char *
@@ -123,7 +83,7 @@
   for (guint i = deleted + 1; i < job->n_records; i++)
     if (job->records[i].version)
       g_queue_push_tail (&writer->keys_to_delete, mh_record_key (job->spec->id, i));
-  respond_to_waiters (writer, job);
+  mh_waiter_response_send_durable (writer->runtime, job);
   mh_log_info (writer->runtime, "job ended job=%s state=%s", job->spec->id,
                cancelled ? "cancelled" : "done");
   mh_job_fill_response (job, &response);
@@ -176,7 +136,7 @@
       accept_job (writer, job);
       if (write->cancelled)
         job->cancellation = MH_CANCELLATION_DURABLE;
-      respond_to_waiters (writer, job);
+      mh_waiter_response_send_durable (writer->runtime, job);
     }
   if (mh_record_has_unwritten_changes (record))
     mh_record_writer_apply_event (writer, record, MH_RECORD_REQUEUED, record->requeue_urgency);
@@ -207,86 +167,11 @@
 
 /* ---- conflicts ---- */
 
-static void
-read_final_record (MhRecordWriter *writer, const char *id);
-
-/* Handles the final record that a submission conflicted with. If there is one, the user has
-   submitted a job again that had already ended, and gets its final state. If there is none, or it
-   is malformed, this leader cannot tell what the submission conflicted with, and its leadership
-   ends. */
-static void
-on_final_record (gpointer owner, gpointer data, const MhCallResponse *response)
-{
-  MhRecordWriter *writer = owner;
-  const char *id = data;
-  MhJob *job = g_hash_table_lookup (writer->jobs, id);
-  if (job == NULL)
-    return;
-  if (response->status != 200 && response->status != 404)
-    {
-      read_final_record (writer, id);
-      return;
-    }
-  MhUserResponse final_response = { .status = 503, .retry_after_s = 1 };
-  MhKvEntry *entry = response->status == 200 ? mh_kv_entry_decode (response->body, NULL) : NULL;
-  bool is_final = entry && mh_record_read_final (entry->value, &final_response, NULL);
-  mh_kv_entry_free (entry);
-  respond_to_all_waiters (writer, job, &final_response);
-  if (is_final)
-    writer->callbacks->job_ended (writer->owner, job, &final_response);
-  mh_record_writer_remove_job (writer, job);
-  if (!is_final)
-    end_leadership (writer, MH_LOSS_RECORD_DIFFERS);
-}
-
-static void
-read_final_record (MhRecordWriter *writer, const char *id)
-{
-  g_autofree char *key = mh_record_final_key (id);
-  const MhCallOptions options = { .class = MH_CALL_WORK,
-                                  .timeout_us = READ_TIMEOUT_US,
-                                  .func = on_final_record,
-                                  .owner = writer,
-                                  .data = g_strdup (id),
-                                  .free_data = g_free };
-  mh_call_queue_add (writer->calls, mh_kv_request_get (key), &options);
-}
-
-/* NULL: the key belongs to no job in memory, or is not the key of a job's first or final record. */
-static MhJob *
-find_job_by_key (const MhRecordWriter *writer, const char *key)
-{
-  const char *slash = strchr (key, '/');
-  return slash ? g_hash_table_lookup (writer->jobs, slash + 1) : NULL;
-}
-
-/* True if a submission in the transaction conflicts with a final record of the same job. Final
-   records are never removed, so that no request of the transaction was or will be applied. */
 static bool
 conflict_proves_not_applied (gconstpointer data, char **failed_keys)
 {
   const MhSentBatch *sent = data;
-  for (char **key = failed_keys; key && *key; key++)
-    {
-      const MhJob *job
-          = g_str_has_prefix (*key, MH_RECORD_FINALS) ? find_job_by_key (sent->writer, *key) : NULL;
-      if (job && !job->accepted)
-        return true;
-    }
-  return false;
-}
-
-/* False: `key` is not of a submission in flight. Otherwise reads the final record of the job; the
-   submission is not written again before the response. */
-static bool
-handle_repeated_submission (MhRecordWriter *writer, const char *key)
-{
-  MhJob *job = find_job_by_key (writer, key);
-  if (job == NULL || job->accepted || !mh_record_state_is_writing (job->records[0].state))
-    return false;
-  mh_record_writer_apply_event (writer, &job->records[0], MH_RECORD_CONFLICTED, MH_URGENCY_START);
-  read_final_record (writer, job->spec->id);
-  return true;
+  return mh_repeated_submission_is_proven (sent->writer, failed_keys);
 }
 
 /* A leader may see conflicts on repeated submissions only. Any other conflict shows that another
@@ -305,7 +190,7 @@
           end_leadership (writer, MH_LOSS_ANOTHER_LEADER);
           return;
         }
-      is_repeat = handle_repeated_submission (writer, *key);
+      is_repeat = mh_repeated_submission_handle_conflict (writer, *key);
       if (!is_repeat)
         break;
     }
@@ -336,7 +221,7 @@
       = { .status = 503, .retry_after_s = MH_REFUSED_RECORD_RETRY_S };
   if (job->accepted)
     {
-      respond_to_all_waiters (writer, job, &retry_response);
+      mh_waiter_response_send_all (writer->runtime, job, &retry_response);
       return;
     }
   writer->callbacks->submission_refused (writer->owner, job);
