--- a/tests/test-attempt-model.c
+++ b/tests/test-attempt-model.c
@@ -282,11 +282,12 @@
 static void
 explore_events_after (Search *search, const GByteArray *path)
 {
-  for (guint8 event = 0; event < N_EVENTS; event++)
+  for (guint event = 0; event < N_EVENTS; event++)
     {
+      const guint8 byte = (guint8)event;
       GByteArray *longer = g_byte_array_new ();
       g_byte_array_append (longer, path->data, path->len);
-      g_byte_array_append (longer, &event, 1);
+      g_byte_array_append (longer, &byte, 1);
       explore (search, longer);
     }
 }
