Release no machine for silence while the leader hears fewer than are silent

Cause: the leader takes itself for cut off when most machines are silent, but machines that have not reported since the election were not counted, and after a failover those are all.

Change: silent are also those that have not answered a probe, reported or not, with tasks or without; they are compared with those that are heard, not with all, since a small share of a processor cannot probe all before the first ones would be released.

--- a/src/cluster/failure-detection.c
+++ b/src/cluster/failure-detection.c
@@ -51,7 +51,7 @@
    their heartbeats: a machine is released only this long after the former leader must have stopped
    doing so. */
 #define FORMER_LEADER_MARGIN_US (10 * MH_SECOND_US)
-/* "Most machines" are more than half of them, and at least this many. */
+/* "Most machines" are at least this many. */
 #define MIN_MAJORITY_MACHINES 3u
 
 #define STATUS_OK 200
@@ -279,30 +279,44 @@
 
 /* ---- all machines ---- */
 
+/* heard: have reported to this leader and are not silent
+   silent: have fallen silent, or have not answered a probe, whether or not they have reported
+   machines: have reported, or have tasks by the records
+   unreported, with_replicas: those of `machines` that have not reported, that have replicas */
 typedef struct
 {
-  guint machines, silent, unreported, with_replicas;
+  guint machines, heard, silent, unreported, with_replicas;
 } MachineCounts;
 
+static bool
+is_silent (const MhCluster *cluster, const MhMachine *machine)
+{
+  const MhMachineHeartbeat *heartbeat = &machine->heartbeat;
+  if (machine->probe.failures || !heartbeat->reported)
+    return machine->probe.failures > 0;
+  return heartbeat->ignored_responses
+         || mh_cluster_silence_us (cluster, heartbeat->last_heartbeat_us)
+                > cluster->settings->silence_limit_us;
+}
+
 static void
 count_machine (MhCluster *cluster, const MhMachine *machine, MachineCounts *counts)
 {
-  const MhMachineHeartbeat *heartbeat = &machine->heartbeat;
-  if (mh_machine_is_releasing (machine) || !(heartbeat->reported || machine->attempts->len))
+  bool reported = machine->heartbeat.reported;
+  if (mh_machine_is_releasing (machine))
+    return;
+  bool silent = is_silent (cluster, machine);
+  counts->silent += silent;
+  counts->heard += reported && !silent;
+  /* Without tasks, a machine that has not reported may still be booting. */
+  if (!reported && machine->attempts->len == 0)
     return;
   counts->machines++;
   counts->with_replicas += machine->usage.replicas > 0;
-  if (!heartbeat->reported)
-    {
-      counts->unreported++;
-      return;
-    }
-  MhZone *zone = mh_zone_find (cluster, machine->zone);
+  counts->unreported += !reported;
+  MhZone *zone = reported ? mh_zone_find (cluster, machine->zone) : NULL;
   if (zone)
     zone->machines++;
-  counts->silent += machine->probe.failures || heartbeat->ignored_responses
-                    || mh_cluster_silence_us (cluster, heartbeat->last_heartbeat_us)
-                           > cluster->settings->silence_limit_us;
 }
 
 static MachineCounts
@@ -320,9 +334,18 @@
 }
 
 static bool
-is_majority (guint count, const MachineCounts *counts)
+are_most_unreported (const MachineCounts *counts)
+{
+  return counts->unreported >= MIN_MAJORITY_MACHINES && counts->unreported * 2 > counts->machines;
+}
+
+/* Whether silence may be the leader's own: it hears fewer machines than are silent. Machines that
+   could not be probed yet show nothing; a small share of a processor probes thousands of them in a
+   minute only. */
+static bool
+may_be_partitioned (const MachineCounts *counts)
 {
-  return count >= MIN_MAJORITY_MACHINES && count * 2 > counts->machines;
+  return counts->silent >= MIN_MAJORITY_MACHINES && counts->silent > counts->heard;
 }
 
 /* How long a machine with service replicas is silent before it is probed. This is early enough for
@@ -349,16 +372,17 @@
   silence.probe_us = silence.overdue_us + PROBE_MARGIN_US;
   silence.replica_probe_us = replica_probe_time_us (cluster, &counts, &silence);
   silence.unreported_release_us = settings->silence_limit_us + LEADER_DISCOVERY_GRACE_US;
-  /* When most machines are silent at once, it is more likely that this leader is partitioned than
-     that all of them have failed. When most have not reported, a former leader that is cut off from
-     the key-value store alone may still respond to all workers for a while. Without these longer
-     limits, a new leader released a whole fleet of working machines. */
-  if (is_majority (counts.silent, &counts))
+  /* When more machines are silent at once than are heard, also of those that have not reported
+     since the election, it is more likely that this leader is partitioned than that all of them
+     have failed. When most have not reported, a former leader that is cut off from the key-value
+     store alone may still respond to all workers for a while. Without these longer limits, a new
+     leader released a whole fleet of working machines. */
+  if (may_be_partitioned (&counts))
     {
       silence.leader_partitioned = true;
       silence.release_us = settings->worker_lease_us + PARTITIONED_LEADER_MARGIN_US;
     }
-  if (is_majority (counts.unreported, &counts))
+  if (are_most_unreported (&counts))
     silence.unreported_release_us
         = MAX (silence.unreported_release_us,
                mh_heartbeat_keep_alive_us (cluster) + FORMER_LEADER_MARGIN_US);
--- a/tests/test-partitions.c
+++ b/tests/test-partitions.c
@@ -185,6 +185,45 @@
   simulation_run (simulation, 30);
 }
 
+/* As before, with so many machines and so small a share of a processor that only a part of them has
+   been probed when the first probes have remained without an answer. */
+static void
+test_leader_hears_no_worker_of_many (Simulation *simulation)
+{
+  const double cut_s = 12;
+  for (guint i = 0; i < SIMULATION_NODES; i++)
+    simulation->nodes[i].settings->core_share = 0.05;
+  simulation->cloud->max_machines = 200;
+  for (guint i = 0; i < 200; i++)
+    cloud_add_machine (simulation->cloud, "small", "a", false);
+  simulation_run (simulation, 10);
+  start_array (simulation, 1, 16, 600);
+  guint leader = simulation_leader (simulation)->index;
+  ControllerNode *next = &simulation->nodes[(leader + 1) % SIMULATION_NODES];
+  simulation_stop_node (simulation, (leader + 2) % SIMULATION_NODES);
+  next->workers_cut_until_us = simulation->clock->now_us + (gint64)(cut_s * MH_SECOND_US);
+  simulation_pause_node (simulation, leader, cut_s);
+  simulation_run (simulation, cut_s);
+  g_assert_false (simulation_has_logged (simulation, "reason=silent_since_failover"));
+}
+
+/* The opposite: a machine that has gone with the former leader is released as soon as before, since
+   the new leader hears the others. */
+static void
+test_machine_gone_since_failover (Simulation *simulation)
+{
+  for (guint i = 0; i < 6; i++)
+    cloud_add_machine (simulation->cloud, "small", "a", false);
+  simulation_run (simulation, 10);
+  start_service (simulation, 1, 12);
+  Machine *machine = worker_with_task (simulation, "j-000001/0")->machine;
+  machine->hung_until_us = simulation->clock->now_us + 300 * MH_SECOND_US;
+  simulation_stop_node (simulation, simulation_leader (simulation)->index);
+  WAIT (simulation, 10, has_leader, NULL);
+  WAIT (simulation, 6, is_removed, machine);
+  g_assert_true (simulation_has_logged (simulation, "reason=silent_since_failover"));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -201,5 +240,9 @@
   simulation_test_add ("/partitions/responses-of-new-leader-lost", 83,
                        test_responses_of_new_leader_lost);
   simulation_test_add ("/partitions/leader-hears-no-worker", 96, test_leader_hears_no_worker);
+  simulation_test_add ("/partitions/leader-hears-no-worker-of-many", 97,
+                       test_leader_hears_no_worker_of_many);
+  simulation_test_add ("/partitions/machine-gone-since-failover", 98,
+                       test_machine_gone_since_failover);
   return g_test_run ();
 }
