Test: submissions that cannot be decided leave the store its calls

Since each of them is looked up; users repeat them every second while the machine types are unknown. The limit on background reads answers the excess with 503 at once.

--- a/tests/test-questions.c
+++ b/tests/test-questions.c
@@ -101,6 +101,35 @@
   WAIT (simulation, 60, is_reported_done, user);
 }
 
+/* While the machine types are unknown, each submission is looked up, and users repeat them all.
+   Without a limit, these reads would take the calls of the records. */
+static void
+test_excess_undecided_submissions_rejected (Simulation *simulation)
+{
+  User *service = start_service (simulation, 1, 1);
+  simulation->cloud->outage_until_us = G_MAXINT64;
+  for (guint i = 0; i < SIMULATION_NODES; i++)
+    simulation_restart_node (simulation, i, CONTROLLER_CURRENT, 0);
+  WAIT (simulation, 10, has_leader, NULL);
+  simulation_run (simulation, 10);
+  guint leader = simulation_leader (simulation)->index;
+  static MhUserResponse responses[900];
+  memset (responses, 0, sizeof responses);
+  for (guint i = 0; i < G_N_ELEMENTS (responses); i++)
+    {
+      MhJobSpec *spec = job_spec_new (500000 + i, MH_SHAPE_ARRAY, 1, 1);
+      simulation_send_request (simulation, leader, MH_USER_SUBMIT, spec->id, spec, &responses[i]);
+    }
+  guint rejected = 0;
+  for (guint i = 0; i < G_N_ELEMENTS (responses); i++)
+    rejected += responses[i].status == 503 && responses[i].retry_after_s > 0;
+  g_assert_cmpuint (rejected, >=, 600);
+  user_cancel (service);
+  WAIT (simulation, 2, is_reported_cancelled, service);
+  for (guint i = 0; i < G_N_ELEMENTS (responses); i++)
+    g_assert_cmpuint (responses[i].status, ==, 503);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -110,5 +139,7 @@
   simulation_test_add ("/job-status/follower-caches-final-response", 53,
                        test_follower_caches_final_response);
   simulation_test_add ("/job-status/excess-queries-rejected", 54, test_excess_queries_rejected);
+  simulation_test_add ("/job-status/excess-undecided-submissions-rejected", 55,
+                       test_excess_undecided_submissions_rejected);
   return g_test_run ();
 }
