--- a/review/4/driver.c
+++ b/review/4/driver.c
@@ -21,7 +21,9 @@
 #define ARRAY_TASKS 28
 #define ARRAY_RUN_S 600
 #define BOOT_S 20
-/* How long the machines that are rented after the disruption really take: 0.6 times BOOT_S. */
+/* How long machines really take: the first ones, up to the one in place of the dead one; then 0.6
+   times BOOT_S. */
+#define QUICK_BOOT_S 2
 #define REAL_BOOT_S 12
 /* How long a replica may wait although a machine that fits has room. */
 #define MAX_WAIT_S 90
@@ -80,7 +82,7 @@
                             .spot_capacity = 20 };
   cluster = site_start (argc, argv, settings, 5 * MH_SECOND_US);
   gint64 started_us = g_get_monotonic_time ();
-  site_set_boot (cluster, 2);
+  site_set_boot (cluster, QUICK_BOOT_S);
   site_submit (cluster,
                site_new_job (SERVICE, "quote-live", "pricing-desk-00", MH_SHAPE_SERVICE, REPLICAS),
                0);
@@ -91,7 +93,6 @@
   site_wait_running (cluster, "j-000801", ARRAY_TASKS, 25);
   site_wait_running (cluster, "j-000802", ARRAY_TASKS, 25);
   site_wait_running (cluster, "j-000803", ARRAY_TASKS, 25);
-  site_set_boot (cluster, REAL_BOOT_S);
   /* For longer runs by hand. */
   const char *longer = g_getenv ("REVIEW_WAIT_S");
   gint64 max_wait_us = (longer ? atoi (longer) : MAX_WAIT_S) * MH_SECOND_US;
@@ -104,10 +105,16 @@
   const WorkloadJob *job = workload_find (cluster->environment->workload, SERVICE);
   guint rented_before = cluster->environment->cloud->machines->len;
   gint64 waits_since_us = 0, complete_since_us = 0;
+  bool replaced = false;
   for (;;)
     {
       harness_wait (1);
       gint64 now_us = g_get_monotonic_time ();
+      if (!replaced && cluster->environment->cloud->machines->len > rented_before)
+        {
+          replaced = true;
+          site_set_boot (cluster, REAL_BOOT_S);
+        }
       guint running = environment_running_tasks (cluster->environment, SERVICE);
       const Machine *room = find_room (job->spec);
       harness_ask (0, "GET", "/submissions/" SERVICE, NULL);
